--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -7,6 +7,7 @@
 // Commands:
 //
 //	serve --config FILE                  run one entry process
+//	forward [--config FILE] [--check]    run one entry process on the users' platform
 //	check [--config FILE] [--rules FILE] list every fault of settings and rules
 //	explain --rules FILE --tenant NAME   which rules touch a request, who asked for them, and why
 //	query --addr ADDR ... TEXT           ask one query as a caller
@@ -99,6 +100,7 @@
 		command           any
 	}{
 		{"serve", "run one entry process", serveHelp, &serveCommand{app: a}},
+		{"forward", "run one entry process on the users' platform", forwardHelp, &forwardCommand{app: a}},
 		{"check", "list every fault of a settings file and a rules file", checkHelp, &checkCommand{app: a}},
 		{"explain", "say which rules touch a request, who asked for them, and why", explainHelp, &explainCommand{app: a}},
 		{"query", "ask one query as a caller", queryHelp, &queryCommand{app: a}},
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,274 @@
+// Package entry is one entry process on a platform that publishes routes and targets: callers send plain HTTP requests,
+// and the process sends them to targets itself, within its share of what the fleet may send.
+//
+// # Usage
+//
+//	e := &entry.Entry{
+//		Self: addr, Seeds: seeds, DataCentre: "dc-a", Names: names, Source: store, Decode: decode,
+//		Callers: l1, Peers: l2, Log: logger, Bounds: bounds,
+//	}
+//	go func() { <-sigterm; e.Stop() }()
+//	err := e.Run(ctx)
+//
+// # Parts
+//
+// The decisions are in pure packages: table (routes), facts (published documents), crew (which processes run), place
+// (targets), spend (repeats), quest (one request). Control.loop owns table, facts and crew and publishes what traffic
+// reads through atomic pointers. One mutex guards place and spend, which each request uses for microseconds.
+package entry
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/logs"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/spend"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/stats"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
+)
+
+// Names are the HTTP header names of the platform. Their values are described where they are used.
+type Names struct {
+	RequestID string // of one attempt of a caller; targets repeat it
+	Patience  string // milliseconds that the sender waits
+	Digest    string // of a target's answer
+	Expect    string // ID of the target that a request is meant for
+	NotRun    string // set by a target that didn't run the request
+	Load      string // "running,waiting,slots"
+	Instance  string // ID of the target that answers
+	Parts     string // digests of the parts of an answer
+	Missing   string // number of parts left out
+}
+
+// ErrHistory says that the platform no longer has the changes after a revision.
+var ErrHistory = errors.New("the platform has dropped this part of its history")
+
+// Source reads the published documents.
+type Source interface {
+	// Range returns everything that exists, and the revision that it is complete up to.
+	Range(ctx context.Context) (docs []plat.Document, asOf uint64, err error)
+	// Watch waits for changes after a revision; none are returned when the time is over.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (docs []plat.Document, asOf uint64, err error)
+}
+
+// Change is what one document says. At most one field is set; none is for a document without meaning here.
+type Change struct {
+	Config *table.Config
+	Target *table.Target
+	Gone   string // ID of a target whose document was removed
+	// Exclude is a data centre that takes no requests; Include takes it back.
+	Exclude, Include string
+}
+
+// Decode translates a document. An error means that the document can't be read; what it said before stands.
+type Decode func(d plat.Document) (Change, error)
+
+// Bounds are the limits of the fleet and the time limits that the platform states.
+type Bounds struct {
+	RetryRatio   float64
+	RetryReserve float64
+	RetryWindow  time.Duration
+	Grace        time.Duration // between the signal to stop and a kill
+}
+
+// Bounds of the HTTP server. The limits in force for callers come from the configuration.
+const (
+	headerBytes = 64 << 10
+	headerWait  = 10 * time.Second
+	bodyBytes   = 1 << 20
+	idleWait    = 90 * time.Second
+)
+
+// Entry is one entry process. All fields are set before Run; Names, Source, Decode, the listeners and Log are required.
+type Entry struct {
+	Self       netip.AddrPort // address of Peers, which identifies this process
+	Seeds      []netip.AddrPort
+	DataCentre string
+	CallerPort uint16 // of every entry process
+	Names      Names
+	Source     Source
+	Decode     Decode
+	Callers    net.Listener
+	Peers      net.Listener
+	Log        *logs.Logger
+	Stats      *stats.Registry
+	Bounds     Bounds
+	Seed       uint64 // of random choices; 0: random
+
+	hub      *peer.Hub
+	pool     *pool.Pool
+	control  *control
+	view     atomic.Pointer[table.View]
+	callable atomic.Pointer[[]netip.AddrPort]
+	ready    atomic.Bool
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	mu     sync.Mutex // guards the rest
+	board  *place.Board
+	budget *spend.Budget
+	rnd    *rand.Rand
+
+	incarnation uint64
+	limits      atomic.Pointer[shares]
+	stop        chan struct{}
+	setup       sync.Once
+	stopped     sync.Once
+}
+
+// shares are this process's parts of the limits of the fleet.
+type shares struct {
+	size int // processes
+	view *table.View
+}
+
+// connectionsUsed is the part of a target's connections that the fleet uses; the rest is for connections that are
+// being replaced.
+const connectionsUsed = 0.85
+
+// connections returns how many sends to a target this process may have open at a time.
+func (s *shares) connections(t *table.Target) int {
+	limit := s.view.Service(t.Service).Connections
+	if limit <= 0 {
+		return 8
+	}
+	return max(int(float64(limit)*connectionsUsed)/max(s.size, 1), 1)
+}
+
+func (e *Entry) init() {
+	e.setup.Do(func() {
+		e.stop = make(chan struct{})
+		if e.Log == nil {
+			e.Log = logs.Wrap(log.New(io.Discard))
+		}
+		if e.Stats == nil {
+			e.Stats = stats.New()
+		}
+		e.incarnation = rand.Uint64() | 1
+		seed := cmp.Or(e.Seed, rand.Uint64())
+		e.rnd = rand.New(rand.NewPCG(seed, seed))
+		e.board = place.New(place.Config{DataCentre: e.DataCentre})
+		e.budget = spend.New(spend.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
+		e.view.Store(table.New().View())
+		e.limits.Store(&shares{size: 1, view: e.view.Load()})
+		e.callable.Store(&[]netip.AddrPort{})
+		e.board.SetLimits(func(t *table.Target) int { return e.limits.Load().connections(t) })
+	})
+}
+
+// Stop begins a planned stop; Run returns when it is complete.
+func (e *Entry) Stop() {
+	e.init()
+	e.stopped.Do(func() {
+		e.stopping.Store(true)
+		close(e.stop)
+	})
+}
+
+// Ready reports whether this process takes requests of callers.
+func (e *Entry) Ready() bool { return e.ready.Load() && !e.stopping.Load() }
+
+// Addresses returns where callers may send requests, in no order. It is empty if no process is known to be ready.
+func (e *Entry) Addresses() []netip.AddrPort { return *e.callable.Load() }
+
+// Snapshot returns the metrics.
+func (e *Entry) Snapshot() any { return e.Stats.Snapshot() }
+
+// Run serves until a planned stop is complete or ctx is canceled.
+func (e *Entry) Run(ctx context.Context) error {
+	e.init()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var closePool, closeHub func()
+	e.pool, closePool = pool.New(pool.Config{})
+	defer closePool()
+	e.hub, closeHub = peer.New(peer.Config{
+		Self:    peer.Hello{Version: peer.Version, VM: e.Self.String(), DataCentre: e.DataCentre, Incarnation: e.incarnation},
+		Handler: &peerEvents{entry: e}, Now: time.Now, Log: e.Log.Logger,
+	})
+	defer closeHub()
+	e.control = newControl(e, time.Now())
+
+	callers := e.server(http.HandlerFunc(e.serve))
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, e.hub)
+	peers := e.server(mux)
+	failed := make(chan error, 2)
+	var wg sync.WaitGroup
+	wg.Go(func() { failed <- callers.Serve(e.Callers) })
+	wg.Go(func() { failed <- peers.Serve(e.Peers) })
+	wg.Go(func() { e.control.loop(ctx) })
+	wg.Go(func() { e.control.follow.loop(ctx) })
+	e.Log.Info("entry process started", "vm", e.Self, "data_centre", e.DataCentre, "incarnation", e.incarnation, "seeds", e.Seeds)
+
+	var err error
+	select {
+	case <-e.stop:
+		e.drain(ctx, callers)
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	e.Log.Info("entry process stopped", "planned", e.stopping.Load(), "in_flight", e.inFlight.Load(), "error", err)
+	cancel()
+	_ = callers.Close()
+	_ = peers.Close()
+	wg.Wait()
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+func (e *Entry) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headerBytes,
+		ErrorLog: e.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+}
+
+// Parts of the time between the signal to stop and the kill.
+const (
+	// addressShare lets callers that keep old address answers use them up; see docs/design.md on planned stops.
+	addressShare = 0.72
+	// finishShare leaves a sixth of the time unused.
+	finishShare = 0.83
+	defGrace    = 6 * time.Second
+)
+
+// drain ends a planned stop: peers and callers are told at once, requests are served until callers have had time to
+// leave, and the rest is finished.
+func (e *Entry) drain(ctx context.Context, callers *http.Server) {
+	start := time.Now()
+	grace := cmp.Or(e.Bounds.Grace, defGrace)
+	e.control.post(func(c *control, now time.Time) { c.publish(now) })
+	e.hub.Broadcast(peer.Frame{Leaving: &peer.Leaving{VM: e.Self.String()}})
+	e.Log.Info("planned stop began", "in_flight", e.inFlight.Load(), "grace", grace)
+	leave := time.NewTimer(time.Duration(addressShare * float64(grace)))
+	defer leave.Stop()
+	select {
+	case <-leave.C:
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, start.Add(time.Duration(finishShare*float64(grace))))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		e.Log.Warn("planned stop ended with requests open", "in_flight", e.inFlight.Load(), "error", err)
+	}
+}
--- /dev/null
+++ b/internal/entry/runner.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/quest"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+)
+
+// lingerFor is how long a send goes on after its request was answered without it. Within it, a target that has only
+// paused replies, and the connection is kept.
+const lingerFor = 250 * time.Millisecond
+
+// runner carries out the plan of one call.
+type runner struct {
+	entry   *Entry
+	call    *call
+	plan    *quest.Plan
+	results chan sent
+	replies map[int]*pool.Reply
+	digests map[string]bool
+	cancel  context.CancelFunc
+	base    context.Context // of all sends; outlives the call by lingerFor
+	sends   int
+}
+
+// sent is the end of one send.
+type sent struct {
+	try     int
+	outcome place.Outcome
+	reply   *pool.Reply
+}
+
+func newRunner(e *Entry, c *call, services []string) *runner {
+	r := &runner{entry: e, call: c, replies: map[int]*pool.Reply{}, digests: map[string]bool{}}
+	r.plan = quest.New(quest.Config{}, c.route, services, (*picker)(r), c.began, c.patience)
+	r.results = make(chan sent, len(services)*(c.route.Attempts+1)+8)
+	r.base, r.cancel = context.WithCancel(context.Background())
+	return r
+}
+
+// loop runs the plan until it is finished or the caller has gone.
+func (r *runner) loop(ctx context.Context) result {
+	var res result
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	finish := r.do(r.decide(func(now time.Time) []quest.Action { return r.plan.Start(now) }))
+	for finish == nil {
+		timer.Reset(max(time.Until(r.plan.Wake()), 0))
+		select {
+		case s := <-r.results:
+			finish = r.do(r.decide(func(now time.Time) []quest.Action { return r.take(now, s) }))
+		case <-timer.C:
+			finish = r.do(r.decide(r.plan.Tick))
+		case <-ctx.Done():
+			r.cancel()
+			res.sends = r.sends
+			return res
+		}
+	}
+	time.AfterFunc(lingerFor, r.cancel)
+	res.finish = *finish
+	res.sends = r.sends
+	for _, try := range finish.Tries {
+		res.replies = append(res.replies, r.replies[try])
+	}
+	return res
+}
+
+// decide runs a step of the plan with the shared state locked.
+func (r *runner) decide(step func(now time.Time) []quest.Action) []quest.Action {
+	r.entry.mu.Lock()
+	defer r.entry.mu.Unlock()
+	now := time.Now()
+	actions := step(now)
+	for _, a := range actions {
+		if a.Send != nil {
+			r.entry.board.Sent(now, a.Send.Target.ID)
+		}
+	}
+	return actions
+}
+
+// take hands the end of a send to the plan. A second part with the same digest is not a part of its own.
+func (r *runner) take(now time.Time, s sent) []quest.Action {
+	if s.reply != nil {
+		r.replies[s.try] = s.reply
+	}
+	if s.outcome == place.Good && len(r.call.route.Gather) > 0 {
+		digest := s.reply.Header.Get(r.entry.Names.Digest)
+		if r.digests[digest] {
+			s.outcome = place.Broken
+		}
+		r.digests[digest] = true
+	}
+	return r.plan.Done(now, s.try, s.outcome)
+}
+
+// do carries out actions and returns the end of the plan, if it has come.
+func (r *runner) do(actions []quest.Action) *quest.Finish {
+	var finish *quest.Finish
+	for _, a := range actions {
+		if a.Finish != nil {
+			finish = a.Finish
+		}
+		if a.Send != nil {
+			r.sends++
+			go r.send(*a.Send)
+		}
+	}
+	return finish
+}
+
+// send makes one send, tells the board how it ended, and hands the reply to the plan.
+func (r *runner) send(s quest.Send) {
+	e := r.entry
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(r.base, r.plan.Deadline())
+	defer cancel()
+	reply, err := e.pool.Do(ctx, pool.Peer{ID: s.Target.ID, Addr: s.Target.Addr}, r.request(s))
+	took := time.Since(began)
+	outcome := e.outcome(r.call, reply, err)
+	e.mu.Lock()
+	now := time.Now()
+	if r.base.Err() != nil && outcome == place.Silent {
+		e.board.Abandoned(now, s.Target.ID, r.call.route.Name, took)
+	} else {
+		e.board.Done(now, s.Target.ID, r.call.route.Name, place.Reply{Outcome: outcome, Latency: took, Load: parseLoad(reply.Header.Get(e.Names.Load))})
+	}
+	e.mu.Unlock()
+	if outcome != place.Good {
+		if outcome == place.Silent || outcome == place.Unsent {
+			// What made this connection silent may have made the others silent too.
+			e.pool.Drop(s.Target.ID)
+		}
+		e.Log.Every("send "+s.Target.ID, time.Second).Info("send failed", "request", r.call.id, "target", s.Target.ID, "service", s.Service,
+			"outcome", int(outcome), "status", reply.Status, "took_ms", took.Milliseconds(), "again", s.Again, "error", err)
+	}
+	end := sent{try: s.Try, outcome: outcome}
+	if err == nil {
+		end.reply = &reply
+	}
+	select {
+	case r.results <- end:
+	case <-r.base.Done(): // the plan has finished
+	}
+}
+
+// request returns the message for one send.
+func (r *runner) request(s quest.Send) *pool.Request {
+	e := r.entry
+	req := r.call.request
+	req.Header = make(http.Header, len(r.call.request.Header)+2)
+	for name, values := range r.call.request.Header {
+		req.Header[name] = values
+	}
+	left := time.Until(r.plan.Deadline())
+	req.Header[e.Names.Patience] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
+	req.Header[e.Names.Expect] = []string{s.Target.ID}
+	id := r.call.id
+	req.Accept = func(_ int, h http.Header) bool {
+		echo := h.Get(e.Names.RequestID)
+		return echo == "" || echo == id
+	}
+	return &req
+}
+
+// outcome says what a reply means.
+func (e *Entry) outcome(c *call, reply pool.Reply, err error) place.Outcome {
+	var failure *pool.Error
+	switch {
+	case errors.As(err, &failure) && failure.Unsent:
+		return place.Unsent
+	case errors.As(err, &failure) && failure.Silent:
+		return place.Silent
+	case err != nil:
+		return place.Broken
+	case reply.Status == http.StatusMisdirectedRequest:
+		return place.Replaced
+	case reply.Header.Get(e.Names.NotRun) != "":
+		return place.Refused
+	case reply.Status < 200 || reply.Status > 299:
+		return place.Fault
+	}
+	if enc := reply.Header.Get("Content-Encoding"); enc != "" && enc != "identity" || reply.Header.Get(e.Names.Digest) == "" {
+		return place.Broken
+	}
+	return place.Good
+}
+
+// parseLoad reads "running,waiting,slots"; nil if it isn't that.
+func parseLoad(s string) *place.Load {
+	fields := strings.Split(s, ",")
+	if len(fields) != 3 {
+		return nil
+	}
+	var n [3]int
+	for i, f := range fields {
+		v, err := strconv.Atoi(strings.TrimSpace(f))
+		if err != nil || v < 0 {
+			return nil
+		}
+		n[i] = v
+	}
+	return &place.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+}
+
+// picker is the runner as the plan sees it. Its methods need Entry.mu.
+type picker runner
+
+// Pick implements quest.Picker.
+func (p *picker) Pick(now time.Time, service string, tried []string) (*table.Target, place.Standing) {
+	e := p.entry
+	targets := e.view.Load().Targets(service)
+	if t, ok := e.board.Pick(now, e.rnd, p.call.route.Name, targets, tried); ok {
+		return t, place.Usable
+	}
+	standing := place.Down
+	for _, t := range targets {
+		if slices.Contains(tried, t.ID) || e.board.Standing(t) == place.Busy {
+			standing = place.Busy
+		}
+	}
+	return nil, standing
+}
+
+// Repeat implements quest.Picker.
+func (p *picker) Repeat(now time.Time, service string) bool { return p.entry.budget.Take(now, service) }
+
+// First implements quest.Picker.
+func (p *picker) First(now time.Time, service string) { p.entry.budget.Sent(now, service) }
+
+// Late implements quest.Picker.
+func (p *picker) Late() time.Duration {
+	_, high := p.entry.board.Usual(p.call.route.Name)
+	return high
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/merge"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/quest"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/wire"
+)
+
+const (
+	// defPatience is for a request that doesn't say how long its caller waits.
+	defPatience = 10 * time.Second
+	startAfter  = 300 * time.Millisecond // Retry-After before a configuration is known
+	// logEvery bounds the lines on requests that were not served whole, for each reason.
+	logEvery = 50 * time.Millisecond
+)
+
+// call is one request of a caller.
+type call struct {
+	id       string
+	began    time.Time
+	patience time.Duration
+	request  pool.Request // headers of the caller that targets get
+	view     *table.View
+	route    *table.Route
+}
+
+// result is how a call ended.
+type result struct {
+	finish  quest.Finish
+	replies []*pool.Reply // of Finish.Tries
+	sends   int
+}
+
+// serve handles one request of a caller.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	if e.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c, status, ok := e.read(w, r)
+	if !ok {
+		e.refuse(w, c, status)
+		return
+	}
+	res := e.run(r.Context(), c)
+	if r.Context().Err() != nil {
+		e.account(c, codes.Canceled, res)
+		return
+	}
+	e.answer(w, c, res)
+}
+
+// read decodes a request and selects its route. If it reports false, the request is refused with the status.
+func (e *Entry) read(w http.ResponseWriter, r *http.Request) (*call, wire.Status, bool) {
+	c := &call{id: r.Header.Get(e.Names.RequestID), began: time.Now(), patience: defPatience, view: e.view.Load()}
+	fail := func(code codes.Code, text string) (*call, wire.Status, bool) {
+		return c, wire.NewStatus(code, c.id, text), false
+	}
+	if ms, err := strconv.ParseFloat(r.Header.Get(e.Names.Patience), 64); err == nil && ms >= 0 && ms < math.MaxInt32 {
+		c.patience = time.Duration(ms * float64(time.Millisecond))
+	}
+	if c.view.Config == nil {
+		_, status, _ := fail(codes.Starting, "no configuration is known yet")
+		status.RetryAfterMS = startAfter.Milliseconds()
+		return c, status, false
+	}
+	if c.id == "" {
+		return fail(codes.BadRequest, "the request has no id")
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	host, _, _ := strings.Cut(r.Host, ":")
+	route, ok := c.view.Match(host, path)
+	if !ok {
+		return fail(codes.UnknownService, "no route for this host and path")
+	}
+	c.route = route
+	limit := c.view.Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = bodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return fail(codes.TooLarge, "the body is larger than allowed")
+	case err != nil:
+		return fail(codes.BadRequest, "the body ended early")
+	}
+	c.request = pool.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: e.forwarded(r.Header), Body: body}
+	return c, wire.Status{}, true
+}
+
+// perConnection are the headers that concern one connection only.
+var perConnection = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true, "Host": true,
+}
+
+// forwarded returns a copy of the headers without those that concern one connection.
+func (e *Entry) forwarded(in http.Header) http.Header {
+	out := make(http.Header, len(in)+2)
+	for name, values := range in {
+		if !perConnection[name] {
+			out[name] = values
+		}
+	}
+	for _, list := range in["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return out
+}
+
+// services returns the services that each part of a call goes to.
+func (e *Entry) services(r *table.Route) []string {
+	if len(r.Gather) > 0 {
+		return r.Gather
+	}
+	var total float64
+	for _, s := range r.Split {
+		total += max(s.Weight, 0)
+	}
+	if total <= 0 {
+		return nil
+	}
+	e.mu.Lock()
+	x := e.rnd.Float64() * total
+	e.mu.Unlock()
+	for _, s := range r.Split {
+		if x -= max(s.Weight, 0); x < 0 {
+			return []string{s.Service}
+		}
+	}
+	return []string{r.Split[len(r.Split)-1].Service}
+}
+
+// run carries out the plan of a call, until it is finished or the caller has gone.
+func (e *Entry) run(ctx context.Context, c *call) result {
+	services := e.services(c.route)
+	if len(services) == 0 {
+		return result{finish: quest.Finish{Code: codes.NoTarget, Reason: quest.ReasonNoTargets, RetryAfter: quest.DefaultDownAfter}}
+	}
+	return newRunner(e, c, services).loop(ctx)
+}
+
+// answer writes the final answer.
+func (e *Entry) answer(w http.ResponseWriter, c *call, res result) {
+	code := res.finish.Code
+	if len(c.route.Gather) > 0 && code.OK() {
+		e.answerMerged(w, c, res)
+	} else if len(res.replies) == 1 {
+		reply := res.replies[0]
+		if promises(reply.Status) {
+			// Only a target that says so has not run the request.
+			e.refuse(w, c, wire.NewStatus(codes.OutcomeUnknown, c.id, "the target failed with a status that would say not run"))
+			return
+		}
+		copyHeaders(w.Header(), reply.Header)
+		writeBody(w, reply.Status, reply.Body)
+	} else {
+		status := wire.NewStatus(code, c.id, string(res.finish.Reason))
+		status.RetryAfterMS = res.finish.RetryAfter.Milliseconds()
+		e.writeStatus(w, status)
+	}
+	e.account(c, code, res)
+}
+
+// promises reports whether callers take the status as "not run".
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func copyHeaders(to, from http.Header) {
+	for name, values := range from {
+		if !perConnection[name] {
+			to[name] = values
+		}
+	}
+}
+
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the caller has gone; the server notices and closes the connection
+}
+
+func (e *Entry) answerMerged(w http.ResponseWriter, c *call, res result) {
+	m := merge.New(c.route.Top)
+	digests := make([]string, 0, len(res.replies))
+	for _, reply := range res.replies {
+		m.Add(reply.Body)
+		digests = append(digests, reply.Header.Get(e.Names.Digest))
+	}
+	h := w.Header()
+	h.Set(e.Names.RequestID, c.id)
+	h.Set(e.Names.Parts, strings.Join(digests, ", "))
+	h.Set(e.Names.Missing, strconv.Itoa(res.finish.Missing))
+	h.Set("Content-Type", "application/octet-stream")
+	writeBody(w, http.StatusOK, m.Bytes())
+}
+
+// refuse answers a call that was not carried out.
+func (e *Entry) refuse(w http.ResponseWriter, c *call, status wire.Status) {
+	e.writeStatus(w, status)
+	e.account(c, status.Code, result{finish: quest.Finish{Code: status.Code, Reason: quest.Reason(status.Message)}})
+}
+
+func (e *Entry) writeStatus(w http.ResponseWriter, status wire.Status) {
+	h := w.Header()
+	if status.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(float64(status.RetryAfterMS)/1000, 'f', 3, 64))
+	}
+	h.Set("Content-Type", "application/json")
+	body, err := json.Marshal(status)
+	if err != nil {
+		e.Log.Error("status can't be encoded", "error", err)
+	}
+	writeBody(w, httpStatus(status.Code), body)
+}
+
+// httpStatus returns the status for a result code. 503 says that the request has not run and never will; 502 and 504
+// leave it open.
+func httpStatus(c codes.Code) int {
+	switch c {
+	case codes.BadRequest:
+		return http.StatusBadRequest
+	case codes.UnknownService:
+		return http.StatusNotFound
+	case codes.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case codes.DeadlineRunning:
+		return http.StatusGatewayTimeout
+	}
+	if c.Ran() == codes.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// account counts a call, and logs it unless it was served whole.
+func (e *Entry) account(c *call, code codes.Code, res result) {
+	took := time.Since(c.began)
+	name, parts := "", 1
+	if c.route != nil {
+		name = c.route.Name
+		parts = max(len(c.route.Gather), 1)
+	}
+	coverage := float64(parts-res.finish.Missing) / float64(parts)
+	e.Stats.ObserveQuery(name, "", code, took, coverage)
+	if code == codes.Complete {
+		return
+	}
+	var version int64
+	if c.view.Config != nil {
+		version = c.view.Config.Version
+	}
+	e.Log.Every("request "+code.Name(), logEvery).Info("request", "request", c.id, "route", name, "code", int(code), "outcome", code.Name(),
+		"reason", string(res.finish.Reason), "missing", res.finish.Missing, "sends", res.sends, "config", version,
+		"took_ms", took.Milliseconds(), "patience_ms", c.patience.Milliseconds(), "retry_after_ms", res.finish.RetryAfter.Milliseconds())
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -10,6 +10,9 @@
 // left out in between. Keys are bounded: beyond MaxKeys, new keys share one limiter, so that keys made from
 // input can't exhaust memory.
 //
+// NewAsync keeps slow readers of the output from holding up the process: lines that find the queue full are dropped,
+// and counted.
+//
 // All methods are safe for concurrent use.
 package logs
 
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -44,6 +44,10 @@
 	Work(ctx context.Context, from string, w Work, reply func(WorkReply))
 	// Order runs a forwarded order and calls reply once.
 	Order(from string, o Order, reply func(OrderReply))
+	// Members takes the names of other processes.
+	Members(from string, m Members)
+	// Sync calls reply once, when there is something newer or the time is over.
+	Sync(from string, s Sync, reply func(SyncReply))
 	// Digest returns the revisions in force, for pings.
 	Digest() policy.Digest
 }
@@ -191,11 +195,22 @@
 	}
 }
 
-// pending is a request that waits for its reply. Exactly one of work and order is set.
+// Sync asks a peer for documents. Done is called once, with Down set if there is no link or it breaks.
+func (h *Hub) Sync(to string, s Sync, done func(SyncReply)) {
+	s.ID = h.next.Add(1)
+	p := &pending{sync: done, id: s.ID}
+	l := h.link(to)
+	if l == nil || !l.enqueue(outgoing{frame: Frame{Sync: &s}, pending: p}) {
+		go p.fail()
+	}
+}
+
+// pending is a request that waits for its reply. Exactly one of work, order and sync is set.
 type pending struct {
 	id      uint64
 	work    func(WorkReply)
 	order   func(OrderReply)
+	sync    func(SyncReply)
 	written atomic.Bool // set before the first byte is written
 }
 
@@ -205,11 +220,14 @@
 		code = codes.OutcomeUnknown
 	}
 	const text = "the link to the peer is down"
-	if p.work != nil {
+	switch {
+	case p.work != nil:
 		p.work(WorkReply{ID: p.id, Code: code, Message: text})
-		return
+	case p.order != nil:
+		p.order(OrderReply{ID: p.id, Answer: wire.OrderAnswer{Status: wire.NewStatus(code, "", text)}})
+	default:
+		p.sync(SyncReply{ID: p.id, AgeMS: -1, Down: true})
 	}
-	p.order(OrderReply{ID: p.id, Answer: wire.OrderAnswer{Status: wire.NewStatus(code, "", text)}})
 }
 
 // ServeHTTP accepts a link of another process.
--- /dev/null
+++ b/internal/peer/ignore.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/policy"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
+)
+
+// Ignore is a Handler that takes nothing. Handlers that need a few messages only embed it.
+type Ignore struct{}
+
+// Ping implements Handler.
+func (Ignore) Ping(_ string, p Ping) Pong { return Pong{Seq: p.Seq, EvidenceAgeMS: -1} }
+
+// Pong implements Handler.
+func (Ignore) Pong(string, time.Time, Pong) {}
+
+// Document implements Handler.
+func (Ignore) Document(string, plat.Document) {}
+
+// Request implements Handler.
+func (Ignore) Request(string, Request) {}
+
+// TargetNote implements Handler.
+func (Ignore) TargetNote(string, TargetNote) {}
+
+// Crash implements Handler.
+func (Ignore) Crash(string, Crash) {}
+
+// Success implements Handler.
+func (Ignore) Success(string, Success) {}
+
+// Survived implements Handler.
+func (Ignore) Survived(string, Survived) {}
+
+// Quarantine implements Handler.
+func (Ignore) Quarantine(string, Quarantine) {}
+
+// Leaving implements Handler.
+func (Ignore) Leaving(string, Leaving) {}
+
+// Work implements Handler; the work is refused.
+func (Ignore) Work(_ context.Context, _ string, _ Work, reply func(WorkReply)) {
+	reply(WorkReply{Code: codes.NotConnected, Message: "this process dispatches no work"})
+}
+
+// Order implements Handler; the order is refused.
+func (Ignore) Order(_ string, _ Order, reply func(OrderReply)) { reply(OrderReply{}) }
+
+// Members implements Handler.
+func (Ignore) Members(string, Members) {}
+
+// Sync implements Handler.
+func (Ignore) Sync(_ string, _ Sync, reply func(SyncReply)) { reply(SyncReply{AgeMS: -1}) }
+
+// Digest implements Handler.
+func (Ignore) Digest() policy.Digest { return policy.Digest{} }
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -136,6 +136,14 @@
 		h.Quarantine(in.from, *f.Quarantine)
 	case f.Leaving != nil:
 		h.Leaving(in.from, *f.Leaving)
+	case f.Members != nil:
+		h.Members(in.from, *f.Members)
+	case f.Sync != nil:
+		id := f.Sync.ID
+		h.Sync(in.from, *f.Sync, func(r SyncReply) {
+			r.ID = id
+			in.reply(Frame{SyncReply: &r})
+		})
 	}
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -249,6 +249,10 @@
 			if p := s.link.take(f.OrderReply.ID); p != nil && p.order != nil {
 				p.order(*f.OrderReply)
 			}
+		case f.SyncReply != nil:
+			if p := s.link.take(f.SyncReply.ID); p != nil && p.sync != nil {
+				p.sync(*f.SyncReply)
+			}
 		}
 	}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -52,6 +52,29 @@
 	EvidenceAgeMS int64         `cbor:"evidence_age_ms"`
 	Leaving       bool          `cbor:"leaving"`
 	Incarnation   uint64        `cbor:"incarnation"`
+	Ready         bool          `cbor:"ready,omitempty"` // takes requests of callers
+}
+
+// Members names processes that may exist.
+type Members struct {
+	VMs []string `cbor:"vms"`
+}
+
+// Sync asks for the documents that have changed after a platform revision. The reply waits up to WaitMS for one.
+type Sync struct {
+	ID     uint64 `cbor:"id"`
+	After  uint64 `cbor:"after"`
+	WaitMS int64  `cbor:"wait_ms"`
+}
+
+// SyncReply ends one Sync. AgeMS is the time since the platform confirmed the documents, -1 if it never has.
+type SyncReply struct {
+	ID        uint64          `cbor:"id"`
+	Documents []plat.Document `cbor:"documents"`
+	AsOf      uint64          `cbor:"as_of"`
+	Whole     bool            `cbor:"whole"` // everything that exists, not only changes
+	AgeMS     int64           `cbor:"age_ms"`
+	Down      bool            `cbor:"down,omitempty"` // the link broke; nothing else is set
 }
 
 // Request asks for the document of a key.
@@ -161,6 +184,9 @@
 	Cancel     *Cancel        `cbor:"cancel,omitempty"`
 	Order      *Order         `cbor:"order,omitempty"`
 	OrderReply *OrderReply    `cbor:"order_reply,omitempty"`
+	Members    *Members       `cbor:"members,omitempty"`
+	Sync       *Sync          `cbor:"sync,omitempty"`
+	SyncReply  *SyncReply     `cbor:"sync_reply,omitempty"`
 }
 
 // Encode returns the frame as CBOR.
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,415 @@
+// Package place chooses the target for each send, from what this process has seen of the targets.
+//
+// # Usage
+//
+//	b := place.New(place.Config{DataCentre: "dc-a"})
+//	t, ok := b.Pick(now, rnd, route, view.Targets("desk-01"), tried)
+//	b.Sent(now, t.ID)
+//	b.Done(now, t.ID, route, place.Reply{Outcome: place.Good, Latency: d, Load: load})
+//	b.Abandoned(now, t.ID, route, d)                // the caller's answer no longer needs the reply
+//	for _, id := range b.Probes(now) { ... }       // ask the health page, then b.Probed(now, id, ok)
+//
+// # Load patterns
+//
+// Uneven targets: the expected time of a target is the usual time of the route, times the target's own speed, times
+// its queue. Its speed is an average that forgets within some tens of replies, so that a target which turns slow loses
+// its share and gets it back.
+//
+// Many processes, one idle target: each reads the same reported load. Expected times are therefore varied at random
+// by Spread, and a report counts less with its age.
+//
+// Pauses: a target that has been silent for several times the usual time of the route, with work of this process
+// outstanding, is passed over until it replies; others hold its share meanwhile.
+//
+// Lost targets: refused connections, or silence in a row, take a target out. It comes back after its health page
+// has answered. A target that answers its health page and fails requests is used less, in proportion.
+package place
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+)
+
+// Config holds the weights. Zero fields take the defaults.
+type Config struct {
+	DataCentre string        // of this process
+	Crossing   time.Duration // what a target in another data centre costs more
+	Spread     float64       // of the random variation, 0..1
+	StallAfter float64       // times the usual time of the route without a reply
+	StallFloor time.Duration
+	ProbeEvery time.Duration
+	MaxDown    time.Duration // the longest pause after failures in a row
+}
+
+// Defaults of Config.
+const (
+	// DefaultCrossing is a round trip between data centres of one region.
+	DefaultCrossing = 2800 * time.Microsecond
+	// DefaultSpread keeps two equal targets equally likely while one at half the load is still preferred.
+	DefaultSpread = 0.3
+	// DefaultStallAfter leaves out one reply in a hundred of a target with the usual variation.
+	DefaultStallAfter = 2.5
+	// DefaultStallFloor is above the scheduling delay of a process with a fraction of a core.
+	DefaultStallFloor = 15 * time.Millisecond
+	// DefaultProbeEvery notices a return within the grace that published entries have.
+	DefaultProbeEvery = 500 * time.Millisecond
+	// DefaultMaxDown is the longest time without a chance for a target that fails on and off.
+	DefaultMaxDown = 2 * time.Second
+)
+
+const (
+	usualStart    = 10 * time.Millisecond // of a route before its first reply
+	usualKeep     = 0.98                  // weight of the past in the usual time of a route
+	speedKeep     = 0.85                  // weight of the past in the speed of a target
+	faultKeep     = 0.85                  // weight of the past in the share of failures
+	faultWeight   = 12                    // a target that always fails counts as this many times slower, and one more
+	maxSpeed      = 20
+	reportHalf    = 60 * time.Millisecond // a reported load counts half after this long
+	downStart     = 250 * time.Millisecond
+	silentInRow   = 3 // silences without any reply between them
+	brokenInRow   = 2
+	coldFactor    = 1.6 // a target without a reply yet is assumed to be this much slower
+	highPercent   = 0.92
+	highStep      = 0.04
+	unseenStalled = time.Hour
+)
+
+// Outcome is how a send ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Good     Outcome = iota // an answer
+	Fault                   // the target's own failure
+	Refused                 // the target says that it didn't run the request
+	Replaced                // another target has the address
+	Unsent                  // no connection, or nothing written
+	Broken                  // the connection ended, or the reply was no answer
+	Silent                  // no reply in the time allowed
+)
+
+// Load is what a target reports of itself.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Reply is the end of a send.
+type Reply struct {
+	Outcome Outcome
+	Latency time.Duration
+	Load    *Load // nil if not reported
+}
+
+type target struct {
+	speed    float64 // times the usual time of the routes
+	seen     bool    // has replied
+	faults   float64 // share of failures lately
+	open     []time.Time
+	load     float64 // reported running and waiting, per slot
+	loadAt   time.Time
+	slots    int
+	last     time.Time // last reply
+	silences int
+	broken   int
+	down     bool
+	downFor  time.Duration
+	probeAt  time.Time
+}
+
+type usual struct {
+	mean float64 // seconds
+	high float64 // seconds; the percentile that makes a send late
+}
+
+// Board is the state of one process. Use New. It is not safe for concurrent use.
+type Board struct {
+	cfg     Config
+	targets map[string]*target
+	routes  map[string]*usual
+	limits  func(t *table.Target) int
+}
+
+// New returns a board without observations.
+func New(cfg Config) *Board {
+	cfg.Crossing = cmp.Or(cfg.Crossing, DefaultCrossing)
+	cfg.Spread = cmp.Or(cfg.Spread, DefaultSpread)
+	cfg.StallAfter = cmp.Or(cfg.StallAfter, DefaultStallAfter)
+	cfg.StallFloor = cmp.Or(cfg.StallFloor, DefaultStallFloor)
+	cfg.ProbeEvery = cmp.Or(cfg.ProbeEvery, DefaultProbeEvery)
+	cfg.MaxDown = cmp.Or(cfg.MaxDown, DefaultMaxDown)
+	return &Board{cfg: cfg, targets: map[string]*target{}, routes: map[string]*usual{}}
+}
+
+// SetLimits sets the function that bounds the sends of this process to one target at a time.
+func (b *Board) SetLimits(f func(t *table.Target) int) { b.limits = f }
+
+func (b *Board) get(id string) *target {
+	t := b.targets[id]
+	if t == nil {
+		t = &target{speed: 1, slots: 1}
+		b.targets[id] = t
+	}
+	return t
+}
+
+func (b *Board) route(name string) *usual {
+	u := b.routes[name]
+	if u == nil {
+		u = &usual{mean: usualStart.Seconds(), high: 2 * usualStart.Seconds()}
+		b.routes[name] = u
+	}
+	return u
+}
+
+// Usual returns the mean time of a send of a route, and the time that few sends exceed.
+func (b *Board) Usual(route string) (mean, high time.Duration) {
+	u := b.route(route)
+	return seconds(u.mean), seconds(u.high)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Standing says why a target can't be picked.
+type Standing uint8
+
+// Standings.
+const (
+	Usable Standing = iota
+	Busy            // as many sends as this process may have there
+	Down            // out until its health page answers
+)
+
+// Standing returns whether a target can be picked now.
+func (b *Board) Standing(t *table.Target) Standing {
+	s := b.targets[t.ID]
+	switch {
+	case s == nil:
+		return Usable
+	case s.down:
+		return Down
+	case b.limits != nil && len(s.open) >= b.limits(t):
+		return Busy
+	}
+	return Usable
+}
+
+// Pick returns the target with the shortest expected time among those that may be sent to, without the tried ones.
+func (b *Board) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, bool) {
+	var best *table.Target
+	var bestTime float64
+	u := b.route(route)
+	for _, t := range targets {
+		if contains(tried, t.ID) || b.Standing(t) != Usable {
+			continue
+		}
+		expected := b.expected(now, u, t) * (1 + b.cfg.Spread*(rnd.Float64()-0.5))
+		if best == nil || expected < bestTime {
+			best, bestTime = t, expected
+		}
+	}
+	return best, best != nil
+}
+
+func contains(list []string, id string) bool {
+	for _, s := range list {
+		if s == id {
+			return true
+		}
+	}
+	return false
+}
+
+// expected returns the expected time of a send, in seconds.
+func (b *Board) expected(now time.Time, u *usual, t *table.Target) float64 {
+	s := b.get(t.ID)
+	if t.Slots > 0 {
+		s.slots = t.Slots
+	}
+	speed := s.speed
+	if !s.seen {
+		speed = coldFactor
+	}
+	queue := float64(len(s.open)) / float64(s.slots)
+	if age := now.Sub(s.loadAt); !s.loadAt.IsZero() && s.load > 0 {
+		queue = max(queue, s.load*decay(age))
+	}
+	e := u.mean * speed * (1 + queue) * (1 + faultWeight*s.faults)
+	if t.DataCentre != b.cfg.DataCentre {
+		e += b.cfg.Crossing.Seconds()
+	}
+	if b.stalled(now, u, s) {
+		// Behind all others, the longest stall last.
+		e += unseenStalled.Seconds() + now.Sub(s.open[0]).Seconds()
+	}
+	return e
+}
+
+func decay(age time.Duration) float64 {
+	return float64(reportHalf) / float64(reportHalf+max(age, 0))
+}
+
+// stalled reports whether the target holds work without a reply for unusually long.
+func (b *Board) stalled(now time.Time, u *usual, s *target) bool {
+	if len(s.open) == 0 {
+		return false
+	}
+	since := s.open[0]
+	if s.last.After(since) {
+		since = s.last
+	}
+	limit := max(time.Duration(b.cfg.StallAfter*u.mean*s.speed*float64(time.Second)), b.cfg.StallFloor)
+	return now.Sub(since) > limit
+}
+
+// Stalled reports whether the target holds work of this process without a reply for unusually long.
+func (b *Board) Stalled(now time.Time, route, id string) bool {
+	s := b.targets[id]
+	return s != nil && b.stalled(now, b.route(route), s)
+}
+
+// Sent counts a send.
+func (b *Board) Sent(now time.Time, id string) {
+	s := b.get(id)
+	s.open = append(s.open, now)
+}
+
+func (s *target) closed(sent time.Time) {
+	for i, at := range s.open {
+		if !at.Before(sent) {
+			s.open = append(s.open[:i], s.open[i+1:]...)
+			return
+		}
+	}
+	if len(s.open) > 0 {
+		s.open = s.open[1:]
+	}
+}
+
+// Done takes the end of a send.
+func (b *Board) Done(now time.Time, id, route string, r Reply) {
+	s := b.get(id)
+	s.closed(now.Add(-r.Latency))
+	if r.Load != nil && r.Load.Slots > 0 {
+		s.slots = r.Load.Slots
+		s.load = float64(r.Load.Running+r.Load.Waiting) / float64(r.Load.Slots)
+		s.loadAt = now
+	}
+	if r.Outcome <= Replaced {
+		s.last = now
+		s.silences, s.broken = 0, 0
+	}
+	switch r.Outcome {
+	case Good:
+		s.seen = true
+		b.observe(s, b.route(route), r.Latency, true)
+		s.faults *= faultKeep
+		s.downFor = 0
+	case Fault:
+		s.faults = s.faults*faultKeep + (1 - faultKeep)
+	case Refused:
+		// The queue was full, whatever was reported before.
+		s.load = max(s.load, 4)
+		s.loadAt = now
+	case Replaced, Unsent:
+		b.takeDown(now, s)
+	case Broken:
+		s.faults = s.faults*faultKeep + (1 - faultKeep)
+		if s.broken++; s.broken >= brokenInRow {
+			b.takeDown(now, s)
+		}
+	case Silent:
+		b.silent(now, s)
+	}
+}
+
+func (b *Board) silent(now time.Time, s *target) {
+	s.faults = s.faults*faultKeep + (1 - faultKeep)
+	if s.silences++; s.silences >= silentInRow {
+		b.takeDown(now, s)
+	}
+}
+
+// observe updates the speed of a target and the usual time of a route. A reply that nobody waited for counts for the
+// target only as a lower bound of its time.
+func (b *Board) observe(s *target, u *usual, latency time.Duration, whole bool) {
+	sec := latency.Seconds()
+	ratio := min(sec/u.mean, maxSpeed)
+	if whole || ratio > s.speed {
+		s.speed = speedKeep*s.speed + (1-speedKeep)*ratio
+	}
+	if !whole && sec < u.mean {
+		return
+	}
+	// Outliers move the mean by a bounded amount.
+	u.mean = usualKeep*u.mean + (1-usualKeep)*min(sec, 4*u.mean)
+	if sec > u.high {
+		u.high += highStep * highPercent * u.high
+	} else {
+		u.high -= highStep * (1 - highPercent) * u.high
+	}
+	u.high = max(u.high, u.mean)
+}
+
+// Abandoned takes a send whose reply nobody waits for any more, after the given time.
+func (b *Board) Abandoned(now time.Time, id, route string, after time.Duration) {
+	s := b.get(id)
+	s.closed(now.Add(-after))
+	b.observe(s, b.route(route), after, false)
+	if limit := 4 * b.route(route).mean; after.Seconds() > limit && !s.last.After(now.Add(-after)) {
+		b.silent(now, s)
+	}
+}
+
+// takeDown takes a target out until its health page answers.
+func (b *Board) takeDown(now time.Time, s *target) {
+	if s.down {
+		return
+	}
+	s.down = true
+	s.downFor = min(max(2*s.downFor, downStart), b.cfg.MaxDown)
+	s.probeAt = now.Add(s.downFor)
+}
+
+// Probes returns the targets whose health page is to be asked now; each counts as asked.
+func (b *Board) Probes(now time.Time) []string {
+	var out []string
+	for id, s := range b.targets {
+		if s.down && !now.Before(s.probeAt) {
+			s.probeAt = now.Add(b.cfg.ProbeEvery)
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Probed takes the answer of a health page.
+func (b *Board) Probed(now time.Time, id string, ok bool) {
+	s := b.targets[id]
+	if s == nil || !s.down || !ok {
+		return
+	}
+	s.down = false
+	s.silences, s.broken = 0, 0
+	s.last = now
+	s.load, s.loadAt = 0, time.Time{}
+	s.speed = max(s.speed, coldFactor)
+	s.faults = min(s.faults, 0.3)
+}
+
+// Down reports whether a target is out.
+func (b *Board) Down(id string) bool {
+	s := b.targets[id]
+	return s != nil && s.down
+}
+
+// Keep forgets the targets that are not listed any more and have no work.
+func (b *Board) Keep(listed func(id string) bool) {
+	for id, s := range b.targets {
+		if len(s.open) == 0 && !listed(id) {
+			delete(b.targets, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,373 @@
+// Package pool keeps HTTP/1.1 connections to targets and says of each failed request whether the target may have run it.
+//
+// # Usage
+//
+//	p, closePool := pool.New(pool.Config{})
+//	defer closePool()
+//	reply, err := p.Do(ctx, pool.Peer{ID: t.ID, Addr: t.Addr}, req)
+//	var failure *pool.Error
+//	if errors.As(err, &failure) && failure.Unsent { ... nothing has reached the target ... }
+//
+// Messages are written and parsed by net/http. http.Transport isn't used, since it sends a request again by itself
+// when a kept connection breaks, and doesn't say whether anything was written.
+//
+// A connection serves one request at a time. It is closed, and not used again, after a reply that was cut short or
+// belongs to another request, after bytes beyond the reply, and if the reply was not read to its end. The number of
+// connections to a target is that of the requests at the same time; the owner of the pool bounds these.
+package pool
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Config holds the bounds. Zero fields take the defaults.
+type Config struct {
+	DialTimeout time.Duration
+	Idle        time.Duration // a connection whose target names no time is kept this long
+	IdleMargin  time.Duration // a connection is given up this long before the time that its target names
+	CheckAfter  time.Duration // a connection idle for longer is checked for a close before it is used
+	MaxBody     int64         // bytes of a reply
+	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Defaults of Config.
+const (
+	// DefaultDialTimeout covers a lost opening packet's first repeat only on links within a region.
+	DefaultDialTimeout = 400 * time.Millisecond
+	DefaultIdle        = 4 * time.Second
+	// DefaultIdleMargin is above the time that a request needs to reach a target, also on a busy core.
+	DefaultIdleMargin = 700 * time.Millisecond
+	DefaultCheckAfter = 10 * time.Millisecond
+	DefaultMaxBody    = 8 << 20
+)
+
+const (
+	readBuffer  = 4 << 10
+	maxInterim  = 8 // 1xx responses before a reply
+	headerGuess = 512
+)
+
+// Peer is a target to connect to.
+type Peer struct {
+	ID   string
+	Addr netip.AddrPort
+}
+
+// Request is one request. Header must not hold Host or Content-Length.
+type Request struct {
+	Method string
+	URI    string // path and query as they stand in the request line
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Accept reports whether the reply belongs to this request; nil accepts all.
+	Accept func(status int, h http.Header) bool
+}
+
+// Reply is one whole reply.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Error says how a request failed.
+type Error struct {
+	Unsent bool // nothing has been written
+	Silent bool // the time was over before the reply was whole
+	Err    error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	switch {
+	case e.Unsent:
+		return fmt.Sprintf("not sent: %v", e.Err)
+	case e.Silent:
+		return fmt.Sprintf("no reply in time: %v", e.Err)
+	}
+	return fmt.Sprintf("connection lost: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+var errForeign = errors.New("the reply belongs to another request")
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	since  time.Time // idle since
+	until  time.Time // must not be used later
+}
+
+// Pool holds the idle connections. Use New.
+type Pool struct {
+	cfg    Config
+	dialed atomic.Uint64
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+}
+
+// New returns a pool without connections, and a function that closes the idle ones.
+func New(cfg Config) (*Pool, func()) {
+	cfg.DialTimeout = cmp.Or(cfg.DialTimeout, DefaultDialTimeout)
+	cfg.Idle = cmp.Or(cfg.Idle, DefaultIdle)
+	cfg.IdleMargin = cmp.Or(cfg.IdleMargin, DefaultIdleMargin)
+	cfg.CheckAfter = cmp.Or(cfg.CheckAfter, DefaultCheckAfter)
+	cfg.MaxBody = cmp.Or(cfg.MaxBody, DefaultMaxBody)
+	if cfg.DialContext == nil {
+		cfg.DialContext = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	p := &Pool{cfg: cfg, idle: map[string][]*conn{}}
+	return p, p.close
+}
+
+func (p *Pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for id := range p.idle {
+		p.dropLocked(id)
+	}
+}
+
+// Dialed returns how many connections were opened.
+func (p *Pool) Dialed() uint64 { return p.dialed.Load() }
+
+// Drop closes the idle connections to a target.
+func (p *Pool) Drop(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropLocked(id)
+}
+
+func (p *Pool) dropLocked(id string) {
+	for _, c := range p.idle[id] {
+		_ = c.Close()
+	}
+	delete(p.idle, id)
+}
+
+// Keep closes idle connections that are too old, or whose target isn't wanted.
+func (p *Pool) Keep(now time.Time, wanted func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, list := range p.idle {
+		if !wanted(id) {
+			p.dropLocked(id)
+			continue
+		}
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				_ = c.Close()
+			}
+		}
+		p.idle[id] = kept
+	}
+}
+
+// Do sends a request and reads the whole reply, until ctx ends. The error is an *Error.
+func (p *Pool) Do(ctx context.Context, to Peer, r *Request) (Reply, error) {
+	c, err := p.open(ctx, to)
+	if err != nil {
+		return Reply{}, &Error{Unsent: true, Silent: isTimeout(err), Err: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	reply, keep, failure := p.exchange(c, r)
+	if !stop() && failure == nil {
+		keep = false // the deadline may already be set on the connection
+	}
+	if failure != nil {
+		_ = c.Close()
+		failure.Silent = failure.Silent || ctx.Err() != nil
+		return Reply{}, failure
+	}
+	if keep {
+		p.put(to.ID, c)
+	} else {
+		_ = c.Close()
+	}
+	return reply, nil
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// open returns an idle connection, or a new one.
+func (p *Pool) open(ctx context.Context, to Peer) (*conn, error) {
+	for {
+		c := p.take(to.ID)
+		if c == nil {
+			break
+		}
+		now := time.Now()
+		if now.Before(c.until) && (now.Sub(c.since) < p.cfg.CheckAfter || c.quiet()) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
+	defer cancel()
+	p.dialed.Add(1)
+	raw, err := p.cfg.DialContext(ctx, "tcp", to.Addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (p *Pool) take(id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[id]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[id] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(id string, c *conn) {
+	c.since = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = c.Close()
+		return
+	}
+	p.idle[id] = append(p.idle[id], c)
+}
+
+// quiet reports whether the connection is open and has nothing to read. An end or stray bytes show here.
+func (c *conn) quiet() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var n int
+	var peekErr error
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && n <= 0 && (errors.Is(peekErr, syscall.EAGAIN) || errors.Is(peekErr, syscall.EINTR))
+}
+
+// exchange writes the request and reads the reply. Keep says whether the connection can be used again.
+func (p *Pool) exchange(c *conn, r *Request) (reply Reply, keep bool, failure *Error) {
+	n, writeErr := c.Write(encode(r))
+	if writeErr != nil && (n == 0 || isTimeout(writeErr)) {
+		return Reply{}, false, &Error{Unsent: n == 0, Silent: isTimeout(writeErr), Err: fmt.Errorf("write request: %w", writeErr)}
+	}
+	// A target may reply and close before it has read the whole request; the reply is still there to read.
+	resp, err := readResponse(c.reader, r.Method)
+	if err != nil {
+		err = cmp.Or(writeErr, err)
+		return Reply{}, false, &Error{Silent: isTimeout(err), Err: fmt.Errorf("read reply: %w", err)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if r.Accept != nil && !r.Accept(resp.StatusCode, resp.Header) {
+		return Reply{}, false, &Error{Err: errForeign}
+	}
+	body, err := readBody(resp, r.Method, p.cfg.MaxBody)
+	if err != nil {
+		return Reply{}, false, &Error{Silent: isTimeout(err), Err: fmt.Errorf("read reply body: %w", err)}
+	}
+	keep = writeErr == nil && !resp.Close && c.reader.Buffered() == 0
+	c.until = time.Now().Add(p.keepFor(resp.Header))
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+}
+
+func encode(r *Request) []byte {
+	var b bytes.Buffer
+	b.Grow(headerGuess + len(r.Body))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.URI)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	_ = r.Header.Write(&b) // a bytes.Buffer doesn't fail
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+func readResponse(reader *bufio.Reader, method string) (*http.Response, error) {
+	for range maxInterim {
+		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errors.New("too many interim responses")
+}
+
+func readBody(resp *http.Response, method string, limit int64) ([]byte, error) {
+	if method == http.MethodHead {
+		return nil, nil
+	}
+	if resp.ContentLength > limit {
+		return nil, fmt.Errorf("%d bytes, expected at most %d", resp.ContentLength, limit)
+	}
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		if _, err := io.ReadFull(resp.Body, body); err != nil {
+			return nil, err
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = fmt.Errorf("more than %d bytes", limit)
+	}
+	return body, err
+}
+
+// keepFor returns how long the connection may be idle.
+func (p *Pool) keepFor(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			return time.Duration(seconds)*time.Second - p.cfg.IdleMargin
+		}
+	}
+	return p.cfg.Idle
+}
--- /dev/null
+++ b/internal/quest/quest.go
@@ -0,0 +1,485 @@
+// Package quest is the plan of one request: which targets it is sent to, what is sent again, when it is answered with
+// what there is, and when it is given up. It is pure: events in, actions out.
+//
+// # Usage
+//
+//	p := quest.New(quest.Config{}, route, services, picker, now, patience)
+//	actions := p.Start(now)
+//	actions = p.Done(now, try, reply)   // for each send
+//	actions = p.Tick(now)               // at p.Wake()
+//
+// A gather request has one part for each shard; any other request has one part. A part is sent to one target at a
+// time, except that a late send is backed by a second one, within Route.Attempts and the budget of the Picker.
+//
+// # Load patterns
+//
+// Stragglers: with ten shards and targets that pause one time in twenty-five, four requests in ten meet a pause.
+// A send that has taken longer than nearly all do is repeated at another target; the first reply counts.
+//
+// Late shards: at the route's goal, less the time that an answer needs to reach the caller, a gather request that
+// covers the route's least share is answered as it is and says what is missing.
+//
+// Lost shards: a shard without any usable target is not waited for. If too many are lost, the request is refused
+// before any target works on it, with the time after which trying again makes sense.
+package quest
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
+)
+
+// Config holds the weights. Zero fields take the defaults.
+type Config struct {
+	AnswerTime time.Duration // that an answer needs from here to the caller
+	HedgeFloor time.Duration // no send is backed by a second one sooner
+	WaitStep   time.Duration // a part without a usable target looks again this often
+	DownAfter  time.Duration // Retry-After when targets are out
+	BusyAfter  time.Duration // Retry-After when targets have no room
+	MinTry     time.Duration // a send with less time than this is not made
+}
+
+// Defaults of Config.
+const (
+	// DefaultAnswerTime is a one-way trip to the caller, and a wake-up and a write on a shared core.
+	DefaultAnswerTime = 7 * time.Millisecond
+	// DefaultHedgeFloor is a round trip between data centres and a wake-up at each end.
+	DefaultHedgeFloor = 6 * time.Millisecond
+	DefaultWaitStep   = 5 * time.Millisecond
+	// DefaultDownAfter is the interval at which targets that are out are probed.
+	DefaultDownAfter = 500 * time.Millisecond
+	// DefaultBusyAfter is the time in which a full queue of a target drains.
+	DefaultBusyAfter = 100 * time.Millisecond
+	// DefaultMinTry is below the fastest reply.
+	DefaultMinTry = 4 * time.Millisecond
+)
+
+// Reason says why a request ended as it did, for logs.
+type Reason string
+
+// Reasons.
+const (
+	ReasonWhole       Reason = "whole"
+	ReasonGoal        Reason = "goal_reached_with_parts_missing"
+	ReasonLost        Reason = "parts_without_usable_target"
+	ReasonNoTargets   Reason = "no_usable_target"
+	ReasonBusy        Reason = "targets_busy"
+	ReasonFailed      Reason = "target_failed"
+	ReasonBroken      Reason = "connection_lost_after_send"
+	ReasonDeadline    Reason = "deadline"
+	ReasonAttempts    Reason = "attempts_used_up"
+	ReasonUnservable  Reason = "too_many_parts_lost"
+	ReasonLeastFailed Reason = "too_few_parts_answered"
+)
+
+// Action is what the caller of the plan must do. Exactly one of Send and Finish is set.
+type Action struct {
+	Send   *Send
+	Finish *Finish
+}
+
+// Send asks to send the request to a target.
+type Send struct {
+	Try     int
+	Part    int
+	Service string
+	Target  *table.Target
+	Left    time.Duration // that the target may take
+	Again   bool          // not the first send of the part
+}
+
+// Finish ends the plan. Sends that are still open are not needed any more. Code is one of codes.Complete and Partial,
+// TargetFailed (the reply of the only try is delivered), NoTarget and Overloaded (not run), OutcomeUnknown and
+// DeadlineRunning (may have run).
+type Finish struct {
+	Code       codes.Code
+	Reason     Reason
+	Tries      []int // whose replies make the answer, one for each covered part
+	Missing    int
+	RetryAfter time.Duration // with a code that says not run
+}
+
+// Picker chooses targets and keeps the budget.
+type Picker interface {
+	// Pick returns a target for the service; false and the reason if there is none now.
+	Pick(now time.Time, service string, tried []string) (*table.Target, place.Standing)
+	// Repeat takes one more send to the service from the budget.
+	Repeat(now time.Time, service string) bool
+	// First counts the first send to a service.
+	First(now time.Time, service string)
+	// Late returns the time after which a send is later than nearly all.
+	Late() time.Duration
+}
+
+type part struct {
+	service string
+	tried   []string // targets of all sends
+	ran     int      // sends that the target may have run
+	open    int
+	sentAt  time.Time // latest send
+	done    bool
+	lost    bool
+	failed  int // a try with a target's own failure, or -1
+	waiting bool
+	why     Reason
+}
+
+type try struct {
+	part int
+	sent time.Time
+	open bool
+}
+
+// Plan is the state of one request. Use New.
+type Plan struct {
+	cfg      Config
+	route    *table.Route
+	picker   Picker
+	start    time.Time
+	now      time.Time // of the latest event
+	deadline time.Time
+	goal     time.Time // zero: none
+	parts    []part
+	tries    []try
+	good     []int // a try for each part, or -1
+	finished bool
+}
+
+// New returns the plan of a request. Services has one entry for each part. Patience is the time that the caller waits;
+// the route's time-out bounds it.
+func New(cfg Config, route *table.Route, services []string, picker Picker, now time.Time, patience time.Duration) *Plan {
+	cfg.AnswerTime = cmp.Or(cfg.AnswerTime, DefaultAnswerTime)
+	cfg.HedgeFloor = cmp.Or(cfg.HedgeFloor, DefaultHedgeFloor)
+	cfg.WaitStep = cmp.Or(cfg.WaitStep, DefaultWaitStep)
+	cfg.DownAfter = cmp.Or(cfg.DownAfter, DefaultDownAfter)
+	cfg.BusyAfter = cmp.Or(cfg.BusyAfter, DefaultBusyAfter)
+	cfg.MinTry = cmp.Or(cfg.MinTry, DefaultMinTry)
+	if route.Timeout > 0 {
+		patience = min(patience, route.Timeout)
+	}
+	p := &Plan{cfg: cfg, route: route, picker: picker, start: now, deadline: now.Add(patience), parts: make([]part, len(services)), good: make([]int, len(services))}
+	if route.Goal > 0 && len(route.Gather) > 0 {
+		p.goal = now.Add(max(route.Goal-cfg.AnswerTime, 0))
+	}
+	for i, s := range services {
+		p.parts[i] = part{service: s, failed: -1}
+		p.good[i] = -1
+	}
+	return p
+}
+
+// Deadline returns when the request has its final answer at the latest.
+func (p *Plan) Deadline() time.Time { return p.deadline }
+
+// Start returns the first sends, or the refusal of a request that can't be served.
+func (p *Plan) Start(now time.Time) []Action {
+	p.now = now
+	var out []Action
+	for i := range p.parts {
+		out = p.dispatch(now, i, out)
+	}
+	if f := p.judge(now); f != nil {
+		if len(out) > 0 && f.Code.Ran() == codes.NotRun {
+			// Nothing has been sent yet: the sends are dropped.
+			out = nil
+			p.tries = nil
+		}
+		return p.finish(out, f)
+	}
+	for i := range p.parts {
+		if p.parts[i].open > 0 {
+			p.picker.First(now, p.parts[i].service)
+		}
+	}
+	return out
+}
+
+func (p *Plan) finish(out []Action, f *Finish) []Action {
+	p.finished = true
+	return append(out, Action{Finish: f})
+}
+
+// Finished reports whether the plan has ended.
+func (p *Plan) Finished() bool { return p.finished }
+
+// dispatch sends a part to a target if one is usable.
+func (p *Plan) dispatch(now time.Time, i int, out []Action) []Action {
+	part := &p.parts[i]
+	part.waiting = false
+	left := p.deadline.Sub(now)
+	if left < p.cfg.MinTry {
+		return out
+	}
+	if part.ran >= max(p.route.Attempts, 1) {
+		p.lose(part, ReasonAttempts)
+		return out
+	}
+	again := len(part.tried) > 0
+	t, standing := p.picker.Pick(now, part.service, part.tried)
+	if t == nil {
+		switch {
+		case part.open > 0:
+		case standing == place.Busy:
+			part.waiting = true
+			part.why = ReasonBusy
+		default:
+			p.lose(part, ReasonNoTargets)
+		}
+		return out
+	}
+	if again && !p.picker.Repeat(now, part.service) {
+		if part.open == 0 {
+			p.lose(part, ReasonAttempts)
+		}
+		return out
+	}
+	return append(out, Action{Send: p.send(now, i, t, left, again)})
+}
+
+func (p *Plan) lose(part *part, why Reason) {
+	if part.open == 0 {
+		part.lost = true
+		part.why = why
+	}
+}
+
+func (p *Plan) send(now time.Time, i int, t *table.Target, left time.Duration, again bool) *Send {
+	part := &p.parts[i]
+	part.tried = append(part.tried, t.ID)
+	part.ran++
+	part.open++
+	part.sentAt = now
+	p.tries = append(p.tries, try{part: i, sent: now, open: true})
+	return &Send{Try: len(p.tries) - 1, Part: i, Service: part.service, Target: t, Left: left, Again: again}
+}
+
+// Done takes the end of a send. Ran says whether the target may have run it.
+func (p *Plan) Done(now time.Time, id int, outcome place.Outcome) []Action {
+	if p.finished || !p.tries[id].open {
+		return nil
+	}
+	p.now = now
+	p.tries[id].open = false
+	i := p.tries[id].part
+	part := &p.parts[i]
+	part.open--
+	var out []Action
+	switch outcome {
+	case place.Good:
+		part.done = true
+		p.good[i] = id
+	case place.Fault:
+		part.failed = id
+		out = p.again(now, i, ReasonFailed, out)
+	case place.Refused, place.Replaced, place.Unsent:
+		part.ran--
+		if !part.done && part.open == 0 {
+			out = p.dispatch(now, i, out)
+		}
+	case place.Broken, place.Silent:
+		out = p.again(now, i, ReasonBroken, out)
+	}
+	if f := p.judge(now); f != nil {
+		return p.finish(out, f)
+	}
+	return out
+}
+
+// again sends a part that failed to another target, if it may run again.
+func (p *Plan) again(now time.Time, i int, why Reason, out []Action) []Action {
+	part := &p.parts[i]
+	if part.done || part.open > 0 {
+		return out
+	}
+	if p.route.Kind != table.Safe {
+		p.lose(part, why)
+		return out
+	}
+	out = p.dispatch(now, i, out)
+	if part.lost {
+		part.why = why
+	}
+	return out
+}
+
+// Tick does what is due.
+func (p *Plan) Tick(now time.Time) []Action {
+	if p.finished {
+		return nil
+	}
+	p.now = now
+	var out []Action
+	for i := range p.parts {
+		part := &p.parts[i]
+		switch {
+		case part.done || part.lost:
+		case part.waiting:
+			out = p.dispatch(now, i, out)
+			if part.open > 0 && len(part.tried) == 1 {
+				p.picker.First(now, part.service)
+			}
+		case part.open == 1 && p.hedgeable(part) && !now.Before(p.hedgeAt(part)):
+			out = p.dispatch(now, i, out)
+			if part.open == 1 {
+				// Nothing to back it with now; asking again at each tick would only cost time.
+				part.sentAt = now
+			}
+		}
+	}
+	if f := p.judge(now); f != nil {
+		return p.finish(out, f)
+	}
+	return out
+}
+
+func (p *Plan) hedgeable(part *part) bool {
+	return p.route.Kind == table.Safe && part.ran < p.route.Attempts
+}
+
+func (p *Plan) hedgeAt(part *part) time.Time {
+	return part.sentAt.Add(max(p.picker.Late(), p.cfg.HedgeFloor))
+}
+
+// Wake returns when Tick is next due.
+func (p *Plan) Wake() time.Time {
+	wake := p.deadline
+	sooner := func(t time.Time) {
+		if t.Before(wake) {
+			wake = t
+		}
+	}
+	if !p.goal.IsZero() && p.goal.After(p.now) {
+		sooner(p.goal)
+	}
+	for i := range p.parts {
+		part := &p.parts[i]
+		switch {
+		case part.done || part.lost:
+		case part.waiting:
+			sooner(p.now.Add(p.cfg.WaitStep))
+		case part.open == 1 && p.hedgeable(part):
+			sooner(p.hedgeAt(part))
+		}
+	}
+	return wake
+}
+
+// judge decides whether the request can be answered now.
+func (p *Plan) judge(now time.Time) *Finish {
+	done, lost, open := 0, 0, 0
+	for i := range p.parts {
+		switch part := &p.parts[i]; {
+		case part.done:
+			done++
+		case part.lost:
+			lost++
+		default:
+			open++
+		}
+	}
+	if len(p.route.Gather) == 0 {
+		return p.judgeOne(now)
+	}
+	total := len(p.parts)
+	need := p.need()
+	switch {
+	case done == total:
+		return p.answer(ReasonWhole)
+	case open == 0 && done >= need:
+		return p.answer(ReasonLost)
+	case total-lost < need:
+		return p.refuse(ReasonUnservable)
+	case done >= need && !p.goal.IsZero() && !now.Before(p.goal):
+		return p.answer(ReasonGoal)
+	case now.Before(p.deadline):
+		return nil
+	case done >= need:
+		return p.answer(ReasonDeadline)
+	}
+	return &Finish{Code: codes.DeadlineRunning, Reason: ReasonDeadline, Missing: total - done}
+}
+
+// need returns how many parts make an answer a success.
+func (p *Plan) need() int {
+	total := len(p.parts)
+	for n := 1; n < total; n++ {
+		if float64(n)/float64(total) >= p.route.Least {
+			return n
+		}
+	}
+	return total
+}
+
+func (p *Plan) answer(why Reason) *Finish {
+	f := &Finish{Code: codes.Complete, Reason: why}
+	for _, id := range p.good {
+		if id >= 0 {
+			f.Tries = append(f.Tries, id)
+		}
+	}
+	f.Missing = len(p.parts) - len(f.Tries)
+	if f.Missing > 0 {
+		f.Code = codes.Partial
+	}
+	return f
+}
+
+// refuse ends a request that can't be served any more.
+func (p *Plan) refuse(why Reason) *Finish {
+	busy := false
+	for i := range p.parts {
+		if p.parts[i].lost && p.parts[i].why == ReasonBusy {
+			busy = true
+		}
+	}
+	if p.mayHaveRun() {
+		return &Finish{Code: codes.OutcomeUnknown, Reason: why, Missing: len(p.parts)}
+	}
+	if busy {
+		return &Finish{Code: codes.Overloaded, Reason: why, Missing: len(p.parts), RetryAfter: p.cfg.BusyAfter}
+	}
+	return &Finish{Code: codes.NoTarget, Reason: why, Missing: len(p.parts), RetryAfter: p.cfg.DownAfter}
+}
+
+// mayHaveRun reports whether any send may have reached a target that ran it. Sends that Start is about to hand out
+// don't count, since refusing drops them.
+func (p *Plan) mayHaveRun() bool {
+	for i := range p.parts {
+		if p.parts[i].done || p.parts[i].failed >= 0 {
+			return true
+		}
+	}
+	starting := !slices.ContainsFunc(p.tries, func(t try) bool { return !t.open || t.sent.After(p.start) })
+	if starting {
+		return false
+	}
+	for i := range p.parts {
+		if p.parts[i].ran > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) judgeOne(now time.Time) *Finish {
+	part := &p.parts[0]
+	switch {
+	case part.done:
+		return p.answer(ReasonWhole)
+	case part.lost && part.failed >= 0:
+		return &Finish{Code: codes.TargetFailed, Reason: ReasonFailed, Tries: []int{part.failed}}
+	case part.lost && part.ran > 0:
+		return &Finish{Code: codes.OutcomeUnknown, Reason: part.why}
+	case part.lost:
+		return p.refuse(part.why)
+	case now.Before(p.deadline):
+		return nil
+	case part.ran > 0:
+		return &Finish{Code: codes.DeadlineRunning, Reason: ReasonDeadline}
+	}
+	return &Finish{Code: codes.Overloaded, Reason: part.why, RetryAfter: p.cfg.BusyAfter}
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -377,3 +377,11 @@
 	c.ended = nil
 	return out
 }
+
+// Members is for fleets whose VMs aren't published; here the published list names them.
+func (p *peerEvents) Members(string, peer.Members) {}
+
+// Sync is for fleets without a gossip of documents.
+func (p *peerEvents) Sync(_ string, _ peer.Sync, reply func(peer.SyncReply)) {
+	reply(peer.SyncReply{AgeMS: -1})
+}
--- a/internal/slope/parts.go
+++ b/internal/slope/parts.go
@@ -21,7 +21,6 @@
 	"github.com/fuchsiarelay/fuchsiarelay/internal/logs"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/member"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
-	"github.com/fuchsiarelay/fuchsiarelay/internal/policy"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/rules"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/state"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/stats"
@@ -183,21 +182,10 @@
 	return held, nil
 }
 
-// quiet is a handler that answers work at once and takes no notice of the rest.
-type quiet struct{}
-
-func (quiet) Ping(_ string, p peer.Ping) peer.Pong            { return peer.Pong{Seq: p.Seq} }
-func (quiet) Pong(string, time.Time, peer.Pong)               {}
-func (quiet) Document(string, plat.Document)                  {}
-func (quiet) Request(string, peer.Request)                    {}
-func (quiet) TargetNote(string, peer.TargetNote)              {}
-func (quiet) Crash(string, peer.Crash)                        {}
-func (quiet) Success(string, peer.Success)                    {}
-func (quiet) Survived(string, peer.Survived)                  {}
-func (quiet) Quarantine(string, peer.Quarantine)              {}
-func (quiet) Leaving(string, peer.Leaving)                    {}
-func (quiet) Order(string, peer.Order, func(peer.OrderReply)) {}
-func (quiet) Digest() policy.Digest                           { return policy.Digest{} }
+// quiet is a handler that answers work at once and ignores the rest.
+type quiet struct{ peer.Ignore }
+
+// Work implements peer.Handler.
 func (quiet) Work(_ context.Context, _ string, w peer.Work, reply func(peer.WorkReply)) {
 	reply(peer.WorkReply{Code: codes.Complete, Sub: answer(*w.Sub), Level: slots})
 }
--- /dev/null
+++ b/internal/spend/spend.go
@@ -0,0 +1,111 @@
+// Package spend is one process's part of the fleet-wide budget for sending a request to a second target.
+//
+// # Usage
+//
+//	b := spend.New(spend.Config{Ratio: 0.2, Reserve: 56, Window: 10 * time.Second})
+//	b.SetSize(n)                       // processes that share the reserve
+//	b.Sent(now, "desk-01")             // the first send of a request to a service
+//	if b.Take(now, "desk-01") { ... }  // one more send to it
+//
+// The budget of a service is Ratio times the first sends in the window, plus a share of Reserve. The ratio needs no
+// agreement, since the sums of all processes keep it if each does; the reserve is divided by the number of processes.
+// Each process keeps Margin of its part back for the differences between its window and any other.
+package spend
+
+import (
+	"cmp"
+	"time"
+)
+
+// Config configures a Budget. Zero fields take the defaults.
+type Config struct {
+	Ratio   float64
+	Reserve float64 // of the whole fleet
+	Window  time.Duration
+	Margin  float64 // 0..1
+}
+
+// Defaults of Config.
+const (
+	DefaultWindow = 10 * time.Second
+	// DefaultMargin covers a step of the window and requests whose window ends between a send and its repeat.
+	DefaultMargin = 0.15
+)
+
+const steps = 20 // of a window
+
+type account struct {
+	first, more [steps]float64
+	at          int64 // step number of the newest entry
+}
+
+// Budget is the state of one process. Use New. It is not safe for concurrent use.
+type Budget struct {
+	cfg      Config
+	size     int
+	accounts map[string]*account
+	epoch    time.Time
+}
+
+// New returns a budget without any sends.
+func New(cfg Config) *Budget {
+	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
+	cfg.Margin = cmp.Or(cfg.Margin, DefaultMargin)
+	return &Budget{cfg: cfg, size: 1, accounts: map[string]*account{}}
+}
+
+// SetSize sets the number of processes that share the reserve.
+func (b *Budget) SetSize(n int) { b.size = max(n, 1) }
+
+func (b *Budget) account(now time.Time, service string) *account {
+	if b.epoch.IsZero() {
+		b.epoch = now
+	}
+	a := b.accounts[service]
+	if a == nil {
+		a = &account{}
+		b.accounts[service] = a
+	}
+	step := int64(now.Sub(b.epoch) / (b.cfg.Window / steps))
+	for ; a.at < step && step-a.at <= steps; a.at++ {
+		a.first[(a.at+1)%steps] = 0
+		a.more[(a.at+1)%steps] = 0
+	}
+	if a.at < step {
+		*a = account{at: step}
+	}
+	return a
+}
+
+// Sent counts the first send of a request to a service.
+func (b *Budget) Sent(now time.Time, service string) {
+	a := b.account(now, service)
+	a.first[a.at%steps]++
+}
+
+// Left returns how many more sends the service bears now.
+func (b *Budget) Left(now time.Time, service string) float64 {
+	a := b.account(now, service)
+	var first, more float64
+	for i := range steps {
+		first += a.first[i]
+		more += a.more[i]
+	}
+	return (b.cfg.Ratio*first+b.cfg.Reserve/float64(b.size))*(1-b.cfg.Margin) - more
+}
+
+// Take takes one more send from the budget; it reports false if none is left.
+func (b *Budget) Take(now time.Time, service string) bool {
+	if b.Left(now, service) < 1 {
+		return false
+	}
+	a := b.account(now, service)
+	a.more[a.at%steps]++
+	return true
+}
+
+// Return gives back a send that was taken and not made.
+func (b *Budget) Return(now time.Time, service string) {
+	a := b.account(now, service)
+	a.more[a.at%steps]--
+}
--- /dev/null
+++ b/internal/table/table.go
@@ -0,0 +1,201 @@
+// Package table holds what the operator has configured and which targets exist, and selects the route of a request.
+//
+// # Usage
+//
+//	b := table.New()
+//	b.SetConfig(cfg)                // ignored unless it is newer
+//	b.SetTarget(t); b.RemoveTarget(id)
+//	b.Exclude("dc-a", true)         // the operator has evacuated a data centre
+//	view := b.View()                // immutable, for traffic
+//	route, ok := view.Match("desk.example", "/stock/7")
+//	for _, t := range view.Targets("desk-01") { ... }
+//
+// A Book is not safe for concurrent use; its owner publishes a new View after each change.
+package table
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says whether a request may run more than once.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	Unsafe Kind = iota // may run at most once for each request
+	Safe               // may run again
+)
+
+// Share is one service of a weighted split.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route says where the requests of a host and path prefix go.
+type Route struct {
+	Name     string
+	Host     string
+	Prefix   string
+	Kind     Kind
+	Timeout  time.Duration // a request has its final answer by then; 0: unbounded
+	Goal     time.Duration // an answer by then has its full value; 0: none
+	Attempts int           // targets of one service that one request may be sent to
+	Priority int           // 0 is the most urgent
+	Split    []Share       // one entry for an undivided route; empty for a gather route
+	Gather   []string      // the services that each hold one shard; empty for other routes
+	Top      int           // records in the answer of a gather route
+	Least    float64       // share of the shards below which a gather answer is a failure, 0..1
+}
+
+// Service is a group of targets that answer alike.
+type Service struct {
+	Name            string
+	HealthPath      string
+	Connections     int // that each target bears from the whole fleet
+	WarmupFor       time.Duration
+	WarmupPerSecond float64 // requests that a cold target bears from the whole fleet; 0: no bound
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes int64
+	BodyBytes   int64
+	HeaderWait  time.Duration
+	Idle        time.Duration // a kept connection may be idle for this long
+}
+
+// Config is one version of the operator's configuration.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Target is one back end, in one incarnation.
+type Target struct {
+	ID         string
+	Service    string
+	Addr       netip.AddrPort
+	DataCentre string
+	Slots      int
+	Leaving    bool          // finishes what it has and takes nothing new
+	ColdFor    time.Duration // left of its warm-up when the entry was written
+	Started    time.Time     // zero if unknown
+}
+
+// Book is the mutable state. Use New.
+type Book struct {
+	config   *Config
+	targets  map[string]Target
+	excluded map[string]bool
+	view     *View
+}
+
+// New returns a book without configuration.
+func New() *Book {
+	return &Book{targets: map[string]Target{}, excluded: map[string]bool{}}
+}
+
+// SetConfig takes a configuration. It reports false if the version isn't newer than the one in force.
+func (b *Book) SetConfig(c Config) bool {
+	if b.config != nil && c.Version <= b.config.Version {
+		return false
+	}
+	b.config = &c
+	b.view = nil
+	return true
+}
+
+// SetTarget adds a target or replaces the one with the same ID.
+func (b *Book) SetTarget(t Target) {
+	b.targets[t.ID] = t
+	b.view = nil
+}
+
+// RemoveTarget forgets a target.
+func (b *Book) RemoveTarget(id string) {
+	delete(b.targets, id)
+	b.view = nil
+}
+
+// Target returns a target by its ID.
+func (b *Book) Target(id string) (Target, bool) {
+	t, ok := b.targets[id]
+	return t, ok
+}
+
+// Exclude takes a data centre out, or back in.
+func (b *Book) Exclude(dataCentre string, out bool) {
+	if out {
+		b.excluded[dataCentre] = true
+	} else {
+		delete(b.excluded, dataCentre)
+	}
+	b.view = nil
+}
+
+// View returns an immutable copy, the same one until something changes.
+func (b *Book) View() *View {
+	if b.view != nil {
+		return b.view
+	}
+	v := &View{hosts: map[string][]*Route{}, services: map[string]Service{}, targets: map[string][]*Target{}, known: map[string]bool{}}
+	for _, t := range b.targets {
+		v.known[t.ID] = true
+		if t.Leaving || b.excluded[t.DataCentre] {
+			continue
+		}
+		v.targets[t.Service] = append(v.targets[t.Service], &t)
+	}
+	for _, list := range v.targets {
+		slices.SortFunc(list, func(x, y *Target) int { return strings.Compare(x.ID, y.ID) })
+	}
+	if b.config != nil {
+		v.Config = b.config
+		for i := range b.config.Routes {
+			r := &b.config.Routes[i]
+			v.hosts[r.Host] = append(v.hosts[r.Host], r)
+		}
+		for _, routes := range v.hosts {
+			slices.SortStableFunc(routes, func(x, y *Route) int { return len(y.Prefix) - len(x.Prefix) })
+		}
+		for _, s := range b.config.Services {
+			v.services[s.Name] = s
+		}
+	}
+	b.view = v
+	return v
+}
+
+// View is an immutable state of a Book.
+type View struct {
+	Config   *Config // nil: none is known yet
+	hosts    map[string][]*Route
+	services map[string]Service
+	targets  map[string][]*Target
+	known    map[string]bool
+}
+
+// Match returns the route with the longest prefix of the path among those of the host.
+func (v *View) Match(host, path string) (*Route, bool) {
+	for _, r := range v.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the settings of a service; the zero value if there are none.
+func (v *View) Service(name string) Service { return v.services[name] }
+
+// Targets returns the targets of a service that take new requests, by ID. The slice must not be changed.
+func (v *View) Targets(service string) []*Target { return v.targets[service] }
+
+// Known reports whether the target is listed in any state.
+func (v *View) Known(id string) bool { return v.known[id] }
--- a/pkg/plat/plat.go
+++ b/pkg/plat/plat.go
@@ -36,6 +36,8 @@
 	Key      string `json:"key" cbor:"key"`
 	Revision uint64 `json:"revision" cbor:"revision"`
 	Value    []byte `json:"value" cbor:"value"`
+	// Removed says that the key no longer exists; Revision is then that of the removal.
+	Removed bool `json:"removed,omitempty" cbor:"removed,omitempty"`
 }
 
 // Reader reads the configuration service.
