Tests of the new packages, and of whole fleets against stand-ins of the platform

Found by them: the channel that ends the control loop was never made, so a process panicked at its end.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -52,7 +52,7 @@
 		seeds[i] = s.String()
 	}
 	c := &control{
-		entry: e, events: make(chan func(*control, time.Time), eventQueue), book: table.New(),
+		entry: e, events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
 		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{}, e.Self.String(), seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -272,3 +272,6 @@
 		e.Log.Warn("planned stop ended with requests open", "in_flight", e.inFlight.Load(), "error", err)
 	}
 }
+
+// InFlight returns the number of requests of callers that have no answer yet.
+func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
--- /dev/null
+++ b/internal/facts/facts_test.go
@@ -0,0 +1,97 @@
+package facts
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
+)
+
+var start = time.Unix(1000, 0)
+
+func doc(key string, rev uint64) plat.Document { return plat.Document{Key: key, Revision: rev} }
+
+func gone(key string, rev uint64) plat.Document {
+	return plat.Document{Key: key, Revision: rev, Removed: true}
+}
+
+func keys(docs []plat.Document) (out []string) {
+	for _, d := range docs {
+		out = append(out, d.Key)
+	}
+	return out
+}
+
+// Pages of a range are not a snapshot: what was written after the first page must survive the range.
+func TestRangeKeepsWhatIsNewer(t *testing.T) {
+	s := New(Config{})
+	s.Range(start, []plat.Document{doc("a", 1), doc("b", 2)}, 2)
+	s.Events(start, []plat.Document{doc("c", 7)}, 7)
+	changed := s.Range(start, []plat.Document{doc("a", 1)}, 5)
+	assert.DeepEqual(t, keys(changed), []string{"b"})
+	assert.Assert(t, changed[0].Removed)
+	docs, asOf, whole := s.Since(0)
+	assert.Assert(t, whole)
+	assert.Equal(t, asOf, uint64(7))
+	assert.DeepEqual(t, keys(docs), []string{"a", "c"})
+}
+
+// Peers and the platform deliver in any order; an older change must not undo a newer one.
+func TestHigherRevisionWins(t *testing.T) {
+	s := New(Config{})
+	s.Range(start, []plat.Document{doc("a", 5)}, 5)
+	assert.Equal(t, len(s.Events(start, []plat.Document{gone("a", 3), doc("a", 4)}, 5)), 0)
+	assert.DeepEqual(t, keys(s.Events(start, []plat.Document{gone("a", 6)}, 6)), []string{"a"})
+	assert.Equal(t, len(s.Events(start, []plat.Document{doc("a", 5)}, 6)), 0)
+}
+
+// While the platform is up, a removed target is gone at once: the drain bound runs from the removal.
+func TestRemovalIsImmediateWhileThePlatformAnswers(t *testing.T) {
+	s := New(Config{})
+	s.Range(start, []plat.Document{doc("a", 1)}, 1)
+	assert.DeepEqual(t, keys(s.Events(start, []plat.Document{gone("a", 2)}, 2)), []string{"a"})
+}
+
+// An entry that lapsed while the platform was away stays until the target has had time to write it again.
+func TestLapseDuringAbsence(t *testing.T) {
+	s := New(Config{})
+	s.Range(start, []plat.Document{doc("lives", 1), doc("dead", 2)}, 2)
+	s.Failed(start.Add(time.Second))
+	back := start.Add(3 * time.Second)
+	assert.Equal(t, len(s.Events(back, []plat.Document{gone("lives", 3), gone("dead", 4)}, 4)), 0)
+	assert.Equal(t, s.Lapsed(), 2)
+	assert.DeepEqual(t, keys(s.Events(back.Add(time.Second), []plat.Document{doc("lives", 5)}, 5)), []string{"lives"})
+	assert.Equal(t, len(s.Tick(back.Add(DefaultGrace-time.Millisecond))), 0)
+	assert.DeepEqual(t, keys(s.Tick(back.Add(DefaultGrace))), []string{"dead"})
+	assert.Equal(t, s.Lapsed(), 0)
+	docs, _, _ := s.Since(0)
+	assert.DeepEqual(t, keys(docs), []string{"lives"})
+}
+
+// A platform that stays away says nothing about the lapsed.
+func TestLapseWaitsForThePlatform(t *testing.T) {
+	s := New(Config{})
+	s.Range(start, []plat.Document{doc("a", 1)}, 1)
+	s.Failed(start)
+	s.Events(start.Add(time.Second), []plat.Document{gone("a", 2)}, 2)
+	s.Failed(start.Add(2 * time.Second))
+	assert.Equal(t, len(s.Tick(start.Add(time.Minute))), 0)
+	s.Events(start.Add(time.Minute), nil, 2)
+	assert.Equal(t, len(s.Tick(start.Add(time.Minute+DefaultGrace))), 1)
+}
+
+// A peer that was away for longer than removals are kept gets everything, or it would keep targets that are gone.
+func TestSinceFallsBackToEverything(t *testing.T) {
+	s := New(Config{})
+	s.Range(start, []plat.Document{doc("a", 1), doc("b", 2)}, 2)
+	s.Events(start, []plat.Document{gone("a", 3)}, 3)
+	docs, _, whole := s.Since(2)
+	assert.Assert(t, !whole)
+	assert.DeepEqual(t, docs, []plat.Document{gone("a", 3)})
+	s.Tick(start.Add(2 * time.Minute))
+	docs, _, whole = s.Since(2)
+	assert.Assert(t, whole)
+	assert.DeepEqual(t, keys(docs), []string{"b"})
+}
--- /dev/null
+++ b/internal/merge/merge_test.go
@@ -0,0 +1,38 @@
+package merge
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// The answer must hold the greatest records byte by byte, falling, with equal ones, whatever the parts hold.
+func TestAgainstSorting(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		top := rapid.IntRange(0, 12).Draw(rt, "top")
+		m := New(top)
+		var all [][]byte
+		for range rapid.IntRange(0, 6).Draw(rt, "parts") {
+			// Few different bytes make equal records likely.
+			body := rapid.SliceOfN(rapid.SampledFrom([]byte{0, 1, 255}), 0, 100).Draw(rt, "body")
+			m.Add(body)
+			for ; len(body) >= Size; body = body[Size:] {
+				all = append(all, body[:Size])
+			}
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(top, len(all))], nil)
+		if !bytes.Equal(m.Bytes(), want) {
+			rt.Fatalf("got %x, want %x", m.Bytes(), want)
+		}
+	})
+}
+
+func TestRemainderIsNoRecord(t *testing.T) {
+	m := New(3)
+	m.Add(make([]byte, Size+5))
+	assert.Equal(t, len(m.Bytes()), Size)
+}
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,182 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func targets(n int) (out []*table.Target) {
+	for i := range n {
+		out = append(out, &table.Target{ID: fmt.Sprint("t", i), Service: "s", Slots: 2, DataCentre: "here"})
+	}
+	return out
+}
+
+// picks counts the choices of many picks at one time.
+func picks(b *Board, now time.Time, list []*table.Target) map[string]int {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	n := map[string]int{}
+	for range 1000 {
+		if t, ok := b.Pick(now, rnd, "r", list, nil); ok {
+			n[t.ID]++
+		}
+	}
+	return n
+}
+
+// answer lets a target reply n times after the given time.
+func answer(b *Board, now time.Time, id string, n int, latency time.Duration) {
+	for range n {
+		b.Sent(now.Add(-latency), id)
+		b.Done(now, id, "r", Reply{Outcome: Good, Latency: latency})
+	}
+}
+
+// Equal targets share the load also if all processes see the same reports.
+func TestEqualTargetsShare(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	for _, t := range targets(3) {
+		answer(b, at(100), t.ID, 50, ms(10))
+	}
+	for id, n := range picks(b, at(100), targets(3)) {
+		assert.Assert(t, n > 250, "%s: %d", id, n)
+	}
+}
+
+// A target that turns slow loses its share within some replies, and gets it back.
+func TestSlowTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(3)
+	for _, x := range list {
+		answer(b, at(100), x.ID, 50, ms(10))
+	}
+	answer(b, at(200), "t0", 6, ms(80))
+	assert.Assert(t, picks(b, at(200), list)["t0"] == 0)
+	answer(b, at(300), "t0", 25, ms(10))
+	assert.Assert(t, picks(b, at(300), list)["t0"] > 200)
+}
+
+// A reported queue keeps requests away, and less so with its age.
+func TestReportedLoad(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(2)
+	for _, x := range list {
+		answer(b, at(100), x.ID, 50, ms(10))
+	}
+	b.Sent(at(100), "t0")
+	b.Done(at(110), "t0", "r", Reply{Outcome: Good, Latency: ms(10), Load: &Load{Running: 2, Waiting: 6, Slots: 2}})
+	assert.Equal(t, picks(b, at(110), list)["t0"], 0)
+	assert.Assert(t, picks(b, at(5000), list)["t0"] > 250)
+}
+
+// A target that holds work without a reply for unusually long is passed over until it replies.
+func TestPausedTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(2)
+	for _, x := range list {
+		answer(b, at(0), x.ID, 50, ms(10))
+	}
+	b.Sent(at(0), "t0")
+	assert.Assert(t, !b.Stalled(at(10), "r", "t0"))
+	assert.Assert(t, b.Stalled(at(60), "r", "t0"))
+	assert.Equal(t, picks(b, at(60), list)["t0"], 0)
+	// With no other target, it is still better than none.
+	assert.Equal(t, picks(b, at(60), list[:1])["t0"], 1000)
+	b.Done(at(100), "t0", "r", Reply{Outcome: Good, Latency: ms(100)})
+	assert.Assert(t, !b.Stalled(at(101), "r", "t0"))
+}
+
+// A refused connection takes a target out at once; its health page brings it back.
+func TestLostTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(2)
+	b.Sent(at(0), "t0")
+	b.Done(at(1), "t0", "r", Reply{Outcome: Unsent, Latency: ms(1)})
+	assert.Equal(t, b.Standing(list[0]), Down)
+	assert.Equal(t, picks(b, at(1), list)["t0"], 0)
+	assert.Equal(t, len(b.Probes(at(1))), 0)
+	assert.DeepEqual(t, b.Probes(at(251)), []string{"t0"})
+	assert.Equal(t, len(b.Probes(at(252))), 0)
+	b.Probed(at(260), "t0", false)
+	assert.Equal(t, b.Standing(list[0]), Down)
+	b.Probed(at(800), "t0", true)
+	assert.Equal(t, b.Standing(list[0]), Usable)
+}
+
+// One broken connection says little about a target; two in a row take it out.
+func TestBrokenConnections(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(1)
+	broken := func() {
+		b.Sent(at(0), "t0")
+		b.Done(at(1), "t0", "r", Reply{Outcome: Broken, Latency: ms(1)})
+	}
+	broken()
+	answer(b, at(2), "t0", 1, ms(1))
+	broken()
+	assert.Equal(t, b.Standing(list[0]), Usable)
+	broken()
+	assert.Equal(t, b.Standing(list[0]), Down)
+}
+
+// Silence in a row, also of sends that were given up, takes a target out.
+func TestSilentTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	answer(b, at(0), "t0", 50, ms(10))
+	for i := range silentInRow {
+		assert.Assert(t, !b.Down("t0"))
+		b.Sent(at(100*i), "t0")
+		b.Abandoned(at(100*i+90), "t0", "r", ms(90))
+	}
+	assert.Assert(t, b.Down("t0"))
+}
+
+// A target that answers its health page and fails requests gets few requests, and more once it has answered some.
+func TestFailingTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(2)
+	for _, x := range list {
+		answer(b, at(0), x.ID, 50, ms(10))
+	}
+	for range 5 {
+		b.Sent(at(0), "t0")
+		b.Done(at(1), "t0", "r", Reply{Outcome: Fault, Latency: ms(1)})
+	}
+	assert.Equal(t, picks(b, at(1), list)["t0"], 0)
+	assert.Equal(t, b.Standing(list[0]), Usable)
+	answer(b, at(2), "t0", 40, ms(10))
+	assert.Assert(t, picks(b, at(2), list)["t0"] > 200)
+}
+
+// No process has more sends open at a target than its share of the connections.
+func TestLimit(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(1)
+	b.SetLimits(func(*table.Target) int { return 2 })
+	b.Sent(at(0), "t0")
+	assert.Equal(t, b.Standing(list[0]), Usable)
+	b.Sent(at(0), "t0")
+	assert.Equal(t, b.Standing(list[0]), Busy)
+	b.Done(at(5), "t0", "r", Reply{Outcome: Good, Latency: ms(5)})
+	assert.Equal(t, b.Standing(list[0]), Usable)
+}
+
+func TestKeepForgetsUnlisted(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	b.Sent(at(0), "t0")
+	answer(b, at(0), "t1", 1, ms(1))
+	b.Keep(func(string) bool { return false })
+	assert.Equal(t, len(b.targets), 1) // t0 still has work
+}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,283 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// script is a target that handles each connection as told. The function gets each request and returns the bytes of
+// the reply, and whether to keep the connection.
+type script struct {
+	peer     Peer
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+func serve(t *testing.T, reply func(n int64, r *http.Request) (string, bool)) *script {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.handle(c, reply)
+		}
+	}()
+	return s
+}
+
+func (s *script) handle(c net.Conn, reply func(n int64, r *http.Request) (string, bool)) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		text, keep := reply(s.requests.Add(1), r)
+		_, _ = io.WriteString(c, text)
+		if !keep {
+			return
+		}
+	}
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func get() *Request { return &Request{Method: "GET", URI: "/a?b=c", Host: "desk"} }
+
+func newPool(t *testing.T) *Pool {
+	t.Helper()
+	p, closePool := New(Config{})
+	t.Cleanup(closePool)
+	return p
+}
+
+func do(t *testing.T, p *Pool, s *script, r *Request) (Reply, *Error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	reply, err := p.Do(ctx, s.peer, r)
+	var failure *Error
+	if err != nil {
+		assert.Assert(t, errors.As(err, &failure))
+	}
+	return reply, failure
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	s := serve(t, func(_ int64, r *http.Request) (string, bool) { return ok(r.Method + r.RequestURI + r.Host), true })
+	p := newPool(t)
+	for range 3 {
+		reply, err := do(t, p, s, get())
+		assert.Assert(t, err == nil)
+		assert.Equal(t, string(reply.Body), "GET/a?b=cdesk")
+	}
+	assert.Equal(t, s.conns.Load(), int64(1))
+}
+
+// net/http would send a request again by itself when a kept connection ends; that may run a request twice.
+func TestNothingIsSentAgain(t *testing.T) {
+	s := serve(t, func(n int64, _ *http.Request) (string, bool) {
+		if n == 1 {
+			return ok("x"), true
+		}
+		return "", false
+	})
+	p := newPool(t)
+	_, err := do(t, p, s, get())
+	assert.Assert(t, err == nil)
+	_, err = do(t, p, s, get())
+	assert.Assert(t, err != nil && !err.Unsent && !err.Silent, "%v", err)
+	assert.Equal(t, s.requests.Load(), int64(2))
+}
+
+// A connection that the target has closed meanwhile is noticed before a request is lost on it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := serve(t, func(n int64, _ *http.Request) (string, bool) { return ok("x"), n > 1 })
+	p := newPool(t)
+	_, err := do(t, p, s, get())
+	assert.Assert(t, err == nil)
+	time.Sleep(50 * time.Millisecond)
+	_, err = do(t, p, s, get())
+	assert.Assert(t, err == nil, "%v", err)
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
+
+// Bytes beyond a reply belong to no request: the connection isn't used again.
+func TestBytesBeyondTheReply(t *testing.T) {
+	for name, late := range map[string]bool{"at once": false, "late": true} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(int64, *http.Request) (string, bool) {
+				if late {
+					return ok("x"), true
+				}
+				return ok("x") + ok("stray"), true
+			})
+			if late {
+				s = serveLate(t)
+			}
+			p := newPool(t)
+			for range 2 {
+				reply, err := do(t, p, s, get())
+				assert.Assert(t, err == nil, "%v", err)
+				assert.Equal(t, string(reply.Body), "x")
+				time.Sleep(60 * time.Millisecond)
+			}
+			assert.Equal(t, s.conns.Load(), int64(2))
+		})
+	}
+}
+
+// serveLate sends a second reply some time after the first.
+func serveLate(t *testing.T) *script {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, ok("x"))
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, ok("stray"))
+				time.Sleep(200 * time.Millisecond)
+			}()
+		}
+	}()
+	return s
+}
+
+func TestRepliesThatAreNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut short":      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx",
+		"no reply":       "",
+		"not HTTP":       "nonsense\r\n\r\n",
+		"cut in a chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nx",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(int64, *http.Request) (string, bool) { return text, false })
+			_, err := do(t, newPool(t), s, get())
+			assert.Assert(t, err != nil && !err.Unsent, "%v", err)
+		})
+	}
+}
+
+// A reply without a length ends with its connection.
+func TestReplyWithoutLength(t *testing.T) {
+	s := serve(t, func(int64, *http.Request) (string, bool) { return "HTTP/1.1 200 OK\r\n\r\nwhole", false })
+	reply, err := do(t, newPool(t), s, get())
+	assert.Assert(t, err == nil)
+	assert.Equal(t, string(reply.Body), "whole")
+}
+
+// The reply to an earlier request must not reach the caller of a later one.
+func TestReplyOfAnotherRequest(t *testing.T) {
+	s := serve(t, func(int64, *http.Request) (string, bool) { return ok("x"), true })
+	r := get()
+	r.Accept = func(int, http.Header) bool { return false }
+	p := newPool(t)
+	_, err := do(t, p, s, r)
+	assert.Assert(t, err != nil && !err.Unsent && errors.Is(err, errForeign))
+	_, err = do(t, p, s, get())
+	assert.Assert(t, err == nil)
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
+
+func TestNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
+	assert.NilError(t, l.Close())
+	_, failure := do(t, newPool(t), s, get())
+	assert.Assert(t, failure != nil && failure.Unsent)
+}
+
+func TestSilence(t *testing.T) {
+	s := serve(t, func(int64, *http.Request) (string, bool) {
+		time.Sleep(time.Second)
+		return "", false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := newPool(t).Do(ctx, s.peer, get())
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure) && failure.Silent && !failure.Unsent)
+}
+
+// A target may refuse a long request before it has read all of it.
+func TestEarlyReplyToLongRequest(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 512))
+		_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	}()
+	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
+	reply, failure := do(t, newPool(t), s, &Request{Method: "POST", URI: "/", Host: "h", Body: []byte(strings.Repeat("x", 1<<20))})
+	assert.Assert(t, failure == nil, "%v", failure)
+	assert.Equal(t, reply.Status, 413)
+}
+
+func TestKeepAliveTimeBoundsReuse(t *testing.T) {
+	s := serve(t, func(int64, *http.Request) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n", true
+	})
+	p := newPool(t)
+	_, err := do(t, p, s, get())
+	assert.Assert(t, err == nil)
+	time.Sleep(time.Second - DefaultIdleMargin + 20*time.Millisecond)
+	_, err = do(t, p, s, get())
+	assert.Assert(t, err == nil)
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
+
+func TestHeadHasNoBody(t *testing.T) {
+	s := serve(t, func(int64, *http.Request) (string, bool) { return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", true })
+	r := get()
+	r.Method = "HEAD"
+	reply, err := do(t, newPool(t), s, r)
+	assert.Assert(t, err == nil, "%v", err)
+	assert.Equal(t, len(reply.Body), 0)
+}
--- /dev/null
+++ b/internal/quest/quest_test.go
@@ -0,0 +1,283 @@
+package quest
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
+)
+
+// fakePicker picks the first target that wasn't tried.
+type fakePicker struct {
+	targets  map[string][]*table.Target
+	standing place.Standing // when there is none
+	repeats  int            // budget
+	firsts   int
+}
+
+func (p *fakePicker) Pick(_ time.Time, service string, tried []string) (*table.Target, place.Standing) {
+	for _, t := range p.targets[service] {
+		if !slices.Contains(tried, t.ID) {
+			return t, place.Usable
+		}
+	}
+	return nil, p.standing
+}
+
+func (p *fakePicker) Repeat(time.Time, string) bool {
+	p.repeats--
+	return p.repeats >= 0
+}
+
+func (p *fakePicker) First(time.Time, string) { p.firsts++ }
+
+func (p *fakePicker) Late() time.Duration { return 20 * time.Millisecond }
+
+func picker(services ...string) *fakePicker {
+	p := &fakePicker{targets: map[string][]*table.Target{}, repeats: 100, standing: place.Down}
+	for _, s := range services {
+		for _, n := range []string{"-a", "-b", "-c"} {
+			p.targets[s] = append(p.targets[s], &table.Target{ID: s + n, Service: s})
+		}
+	}
+	return p
+}
+
+func at(ms int) time.Time { return simStart.Add(time.Duration(ms) * time.Millisecond) }
+
+func sends(actions []Action) (out []Send) {
+	for _, a := range actions {
+		if a.Send != nil {
+			out = append(out, *a.Send)
+		}
+	}
+	return out
+}
+
+func finish(t *testing.T, actions []Action) Finish {
+	t.Helper()
+	for _, a := range actions {
+		if a.Finish != nil {
+			return *a.Finish
+		}
+	}
+	t.Fatal("the plan has not finished")
+	return Finish{}
+}
+
+func single(kind table.Kind) *table.Route {
+	return &table.Route{Kind: kind, Timeout: 500 * time.Millisecond, Goal: 100 * time.Millisecond, Attempts: 2, Split: []table.Share{{Service: "s", Weight: 1}}}
+}
+
+func plan(r *table.Route, p Picker) *Plan {
+	services := r.Gather
+	if len(services) == 0 {
+		services = []string{"s"}
+	}
+	return New(Config{}, r, services, p, at(0), time.Second)
+}
+
+// A request that may run once must not be sent again when the first target may have run it.
+func TestUnsafeIsSentAgainOnlyIfItDidNotRun(t *testing.T) {
+	for _, c := range []struct {
+		outcome place.Outcome
+		again   bool
+		code    codes.Code
+	}{
+		{place.Refused, true, 0},
+		{place.Replaced, true, 0},
+		{place.Unsent, true, 0},
+		{place.Broken, false, codes.OutcomeUnknown},
+		{place.Silent, false, codes.OutcomeUnknown},
+		{place.Fault, false, codes.TargetFailed},
+	} {
+		p := plan(single(table.Unsafe), picker("s"))
+		assert.Equal(t, len(sends(p.Start(at(0)))), 1)
+		actions := p.Done(at(5), 0, c.outcome)
+		assert.Equal(t, len(sends(actions)) == 1, c.again)
+		if !c.again {
+			assert.Equal(t, finish(t, actions).Code, c.code)
+		}
+	}
+}
+
+// A late send of a request that may run once is never backed by a second one.
+func TestUnsafeIsNotHedged(t *testing.T) {
+	p := plan(single(table.Unsafe), picker("s"))
+	p.Start(at(0))
+	assert.Equal(t, p.Wake(), at(500))
+	assert.Equal(t, len(p.Tick(at(400))), 0)
+	assert.Equal(t, finish(t, p.Tick(at(500))).Code, codes.DeadlineRunning)
+}
+
+func TestRefusedEverywhereSaysNotRun(t *testing.T) {
+	p := plan(single(table.Unsafe), picker("s"))
+	p.Start(at(0))
+	p.Done(at(1), 0, place.Refused)
+	p.Done(at(2), 1, place.Unsent)
+	f := finish(t, p.Done(at(3), 2, place.Refused))
+	assert.Equal(t, f.Code.Ran(), codes.NotRun)
+	assert.Assert(t, f.RetryAfter > 0)
+}
+
+// A late send is backed by a second one within the route's attempts and the budget, and the first reply counts.
+func TestHedge(t *testing.T) {
+	k := picker("s")
+	p := plan(single(table.Safe), k)
+	p.Start(at(0))
+	assert.Equal(t, p.Wake(), at(20))
+	again := sends(p.Tick(at(20)))
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Again)
+	assert.Equal(t, again[0].Target.ID, "s-b")
+	assert.Equal(t, len(p.Tick(at(60))), 0) // attempts used up
+	f := finish(t, p.Done(at(61), 1, place.Good))
+	assert.DeepEqual(t, f.Tries, []int{1})
+	assert.Equal(t, f.Code, codes.Complete)
+
+	k.repeats = 0
+	p = plan(single(table.Safe), k)
+	p.Start(at(0))
+	assert.Equal(t, len(sends(p.Tick(at(20)))), 0)
+}
+
+func gather(n int, least float64) (*table.Route, *fakePicker) {
+	return &table.Route{Kind: table.Safe, Timeout: 800 * time.Millisecond, Goal: 80 * time.Millisecond, Attempts: 2, Gather: shards(n), Least: least}, picker(shards(n)...)
+}
+
+// At the goal, the answer goes out as it is if the route allows it; before, the plan waits for all shards.
+func TestAnswerAtTheGoal(t *testing.T) {
+	r, k := gather(10, 0.89)
+	p := plan(r, k)
+	assert.Equal(t, len(sends(p.Start(at(0)))), 10)
+	assert.Equal(t, k.firsts, 10)
+	for i := range 9 {
+		assert.Equal(t, len(p.Done(at(10), i, place.Good)), 0)
+	}
+	p.Tick(at(20))
+	f := finish(t, p.Tick(at(80).Add(-DefaultAnswerTime)))
+	assert.Equal(t, f.Code, codes.Partial)
+	assert.Equal(t, f.Missing, 1)
+	assert.Equal(t, f.Reason, ReasonGoal)
+}
+
+// Below the least share there is no answer at the goal; the missing part still counts when it comes late.
+func TestNoAnswerBelowTheLeastShare(t *testing.T) {
+	r, k := gather(10, 0.89)
+	p := plan(r, k)
+	p.Start(at(0))
+	for i := range 8 {
+		p.Done(at(10), i, place.Good)
+	}
+	p.Tick(at(20))
+	assert.Equal(t, len(p.Tick(at(80))), 0)
+	assert.Assert(t, p.Wake().After(at(80)))
+	assert.Equal(t, finish(t, p.Done(at(120), 8, place.Good)).Missing, 1)
+
+	p = plan(r, k)
+	p.Start(at(0))
+	p.Tick(at(20))
+	f := finish(t, p.Tick(at(800)))
+	assert.Equal(t, f.Code, codes.DeadlineRunning)
+}
+
+// A shard without any target isn't waited for; if too many are lost, nothing is sent and the caller is told when to
+// come back.
+func TestLostShards(t *testing.T) {
+	r, k := gather(10, 0.89)
+	delete(k.targets, "shard-03")
+	p := plan(r, k)
+	assert.Equal(t, len(sends(p.Start(at(0)))), 9)
+	var last []Action
+	for i := range 9 {
+		last = p.Done(at(10), i, place.Good)
+	}
+	assert.Equal(t, finish(t, last).Reason, ReasonLost)
+
+	delete(k.targets, "shard-07")
+	k.firsts = 0
+	actions := plan(r, k).Start(at(0))
+	assert.Equal(t, len(sends(actions)), 0)
+	assert.Equal(t, k.firsts, 0)
+	f := finish(t, actions)
+	assert.Equal(t, f.Code, codes.NoTarget)
+	assert.Equal(t, f.RetryAfter, DefaultDownAfter)
+}
+
+// A part whose targets have no room waits and looks again.
+func TestBusyPartWaits(t *testing.T) {
+	k := picker()
+	k.standing = place.Busy
+	p := plan(single(table.Safe), k)
+	assert.Equal(t, len(p.Start(at(0))), 0)
+	assert.Equal(t, p.Wake(), at(0).Add(DefaultWaitStep))
+	k.targets = picker("s").targets
+	assert.Equal(t, len(sends(p.Tick(at(5)))), 1)
+	assert.Equal(t, k.firsts, 1)
+}
+
+// Whatever happens, a plan ends by its deadline, runs no part on more targets than allowed, and never says "not run"
+// after a send that may have run.
+func TestEveryPlanEnds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		kind := rapid.SampledFrom([]table.Kind{table.Safe, table.Unsafe}).Draw(rt, "kind")
+		r, k := gather(rapid.IntRange(1, 5).Draw(rt, "parts"), 0.7)
+		if kind == table.Unsafe {
+			r, k = single(kind), picker("s")
+		}
+		k.repeats = rapid.IntRange(0, 6).Draw(rt, "budget")
+		k.standing = rapid.SampledFrom([]place.Standing{place.Busy, place.Down}).Draw(rt, "standing")
+		p := plan(r, k)
+		now := at(0)
+		var open []Send
+		mayRun := map[int]int{}
+		ran := false
+		handle := func(actions []Action) (end *Finish) {
+			for _, a := range actions {
+				if a.Send != nil {
+					open = append(open, *a.Send)
+					mayRun[a.Send.Part]++
+				}
+				if a.Finish != nil {
+					end = a.Finish
+				}
+			}
+			return end
+		}
+		end := handle(p.Start(now))
+		for steps := 0; end == nil; steps++ {
+			if steps > 2000 || now.After(at(801)) {
+				rt.Fatalf("no end at %v", now.Sub(at(0)))
+			}
+			if len(open) > 0 && rapid.Bool().Draw(rt, "reply") {
+				i := rapid.IntRange(0, len(open)-1).Draw(rt, "which")
+				s := open[i]
+				open = slices.Delete(open, i, i+1)
+				o := rapid.SampledFrom([]place.Outcome{place.Good, place.Fault, place.Refused, place.Unsent, place.Broken}).Draw(rt, "outcome")
+				if o == place.Refused || o == place.Unsent {
+					mayRun[s.Part]--
+				} else {
+					ran = true
+				}
+				end = handle(p.Done(now, s.Try, o))
+			} else {
+				now = p.Wake()
+				end = handle(p.Tick(now))
+			}
+			for part, n := range mayRun {
+				if n > r.Attempts || kind == table.Unsafe && n > 1 {
+					rt.Fatalf("part %d may run on %d targets", part, n)
+				}
+			}
+		}
+		if ran && end.Code.Ran() == codes.NotRun {
+			rt.Fatalf("said not run: %+v", *end)
+		}
+	})
+}
--- /dev/null
+++ b/internal/quest/replay_test.go
@@ -0,0 +1,81 @@
+package quest
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+)
+
+func shards(n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("shard-%02d", i))
+	}
+	return out
+}
+
+func gatherRoute(n int) *table.Route {
+	return &table.Route{Name: "search", Kind: table.Safe, Timeout: 800 * time.Millisecond, Goal: 80 * time.Millisecond, Attempts: 2, Gather: shards(n), Top: 50, Least: 0.89}
+}
+
+// load replays one load twice, through the decisions and through the plainest rule, and returns the value of both.
+func load(t *testing.T, shape func(s *sim), perSecond float64, from, to time.Duration) (value, plain float64) {
+	t.Helper()
+	for _, isPlain := range []bool{false, true} {
+		s := newSim(7, 8, shards(10), 2)
+		s.plain = isPlain
+		shape(s)
+		route := gatherRoute(10)
+		work := s.logNormal(7500*time.Microsecond, 0.35)
+		s.poisson(func(time.Duration) float64 { return perSecond }, to, func() { s.request(route, 800*time.Millisecond, work) })
+		s.run(to + 2*time.Second)
+		if isPlain {
+			plain = s.value(from, to)
+		} else {
+			value = s.value(from, to)
+		}
+	}
+	t.Logf("value %.3f, plainest rule %.3f", value, plain)
+	return value, plain
+}
+
+// Targets pause for 100 ms each 2.4 s, each at its own time: one request in three meets a pause.
+func TestReplayPauses(t *testing.T) {
+	value, plain := load(t, func(s *sim) {
+		n := 0
+		for _, name := range shards(10) {
+			for _, target := range s.byName[name] {
+				n++
+				phase := time.Duration(n*977%2400) * time.Millisecond
+				s.targets[target.ID].paused = func(at time.Duration) time.Duration {
+					in := (at + phase) % (2400 * time.Millisecond)
+					return max(100*time.Millisecond-in, 0)
+				}
+			}
+		}
+	}, 150, time.Second, 12*time.Second)
+	assert.Assert(t, value > 0.97, "value %v", value)
+	assert.Assert(t, value > plain+0.1, "value %v, plainest rule %v", value, plain)
+}
+
+// Some targets turn eight times slower for some seconds. Their share must go to the others soon and come back after.
+func TestReplaySlowTargets(t *testing.T) {
+	shape := func(s *sim) {
+		for i := range 4 {
+			s.targets[fmt.Sprintf("shard-%02d-t%d", 2*i, i%3)].slow = func(at time.Duration) float64 {
+				if at > 3*time.Second && at < 9*time.Second {
+					return 8
+				}
+				return 1
+			}
+		}
+	}
+	value, plain := load(t, shape, 150, 3*time.Second, 9*time.Second)
+	assert.Assert(t, value > 0.93, "value %v", value)
+	assert.Assert(t, value > plain+0.2, "value %v, plainest rule %v", value, plain)
+	after, _ := load(t, shape, 150, 10*time.Second, 14*time.Second)
+	assert.Assert(t, after > 0.97, "after the slow spell %v", after)
+}
--- /dev/null
+++ b/internal/quest/sim_test.go
@@ -0,0 +1,302 @@
+package quest
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/spend"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
+)
+
+// sim replays a load through fronts and targets in virtual time. The decisions are the real ones; targets, network
+// and callers are models.
+type sim struct {
+	now     time.Time
+	queue   events
+	seq     int
+	rnd     *rand.Rand
+	fronts  []*simFront
+	targets map[string]*simTarget
+	byName  map[string][]*table.Target
+	plain   bool // the baseline: any target, no second send, wait until the deadline
+	done    []simEnd
+}
+
+var simStart = time.Unix(1000, 0)
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (s *sim) at(t time.Time, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{t, s.seq, do})
+}
+
+func (s *sim) after(d time.Duration, do func()) { s.at(s.now.Add(d), do) }
+
+func (s *sim) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at.Before(simStart.Add(until)) {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// simTarget serves with slots, a queue and a speed that may change.
+type simTarget struct {
+	sim     *sim
+	slots   int
+	length  int // of the queue
+	running int
+	waiting []func()
+	slow    func(t time.Duration) float64 // factor at a time since the start; nil: 1
+	paused  func(t time.Duration) time.Duration
+	arrived int
+}
+
+func (t *simTarget) take(work time.Duration, reply func(o place.Outcome)) {
+	t.arrived++
+	job := func() {
+		t.running++
+		since := t.sim.now.Sub(simStart)
+		d := work
+		if t.slow != nil {
+			d = time.Duration(float64(d) * t.slow(since))
+		}
+		if t.paused != nil {
+			d += t.paused(since)
+		}
+		t.sim.after(d, func() {
+			t.running--
+			reply(place.Good)
+			if len(t.waiting) > 0 {
+				next := t.waiting[0]
+				t.waiting = t.waiting[1:]
+				next()
+			}
+		})
+	}
+	switch {
+	case t.running < t.slots:
+		job()
+	case len(t.waiting) < t.length:
+		t.waiting = append(t.waiting, job)
+	default:
+		reply(place.Refused)
+	}
+}
+
+func (t *simTarget) load() *place.Load {
+	return &place.Load{Running: t.running, Waiting: len(t.waiting), Slots: t.slots}
+}
+
+type simFront struct {
+	sim    *sim
+	board  *place.Board
+	budget *spend.Budget
+}
+
+// simEnd is how one request ended.
+type simEnd struct {
+	route *table.Route
+	at    time.Time
+	took  time.Duration
+	code  codes.Code
+	share float64
+}
+
+// newSim returns n fronts in front of the named services with three targets each.
+func newSim(seed uint64, fronts int, services []string, slots int) *sim {
+	s := &sim{now: simStart, rnd: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*simTarget{}, byName: map[string][]*table.Target{}}
+	for range fronts {
+		f := &simFront{sim: s, board: place.New(place.Config{DataCentre: "here"}), budget: spend.New(spend.Config{Ratio: 0.2, Reserve: 56})}
+		f.budget.SetSize(fronts)
+		s.fronts = append(s.fronts, f)
+	}
+	for _, name := range services {
+		for i := range 3 {
+			id := fmt.Sprintf("%s-t%d", name, i)
+			s.targets[id] = &simTarget{sim: s, slots: slots, length: 12}
+			s.byName[name] = append(s.byName[name], &table.Target{ID: id, Service: name, Slots: slots, DataCentre: "here"})
+		}
+	}
+	return s
+}
+
+// simOneWay is the time of a message between a front and a target.
+const simOneWay = time.Millisecond
+
+// request starts a request at a random front.
+func (s *sim) request(route *table.Route, patience time.Duration, work func() time.Duration) {
+	f := s.fronts[s.rnd.IntN(len(s.fronts))]
+	services := route.Gather
+	if len(services) == 0 {
+		services = []string{route.Split[0].Service}
+	}
+	p := &simPicker{f, route}
+	planned := *route
+	if s.plain {
+		planned.Goal = 0
+	}
+	plan := New(Config{AnswerTime: time.Millisecond}, &planned, services, p, s.now, patience)
+	r := &simRequest{sim: s, front: f, plan: plan, route: route, began: s.now, work: work}
+	r.do(plan.Start(s.now))
+}
+
+type simRequest struct {
+	sim   *sim
+	front *simFront
+	plan  *Plan
+	route *table.Route
+	began time.Time
+	work  func() time.Duration
+	wake  time.Time
+}
+
+func (r *simRequest) do(actions []Action) {
+	for _, a := range actions {
+		if a.Send != nil {
+			r.send(*a.Send)
+		}
+		if a.Finish != nil {
+			parts := max(len(r.route.Gather), 1)
+			r.sim.done = append(r.sim.done, simEnd{
+				r.route, r.began, r.sim.now.Sub(r.began), a.Finish.Code, float64(parts-a.Finish.Missing) / float64(parts),
+			})
+			return
+		}
+	}
+	if at := r.plan.Wake(); !r.plan.Finished() && !at.Equal(r.wake) {
+		r.wake = at
+		r.sim.at(at, func() {
+			if r.wake.Equal(at) {
+				r.wake = time.Time{}
+				r.do(r.plan.Tick(r.sim.now))
+			}
+		})
+	}
+}
+
+func (r *simRequest) send(a Send) {
+	s := r.sim
+	sent := s.now
+	r.front.board.Sent(sent, a.Target.ID)
+	target := s.targets[a.Target.ID]
+	work := r.work()
+	s.after(simOneWay, func() {
+		target.take(work, func(o place.Outcome) {
+			load := target.load()
+			s.after(simOneWay, func() {
+				r.front.board.Done(s.now, a.Target.ID, r.route.Name, place.Reply{Outcome: o, Latency: s.now.Sub(sent), Load: load})
+				r.do(r.plan.Done(s.now, a.Try, o))
+			})
+		})
+	})
+}
+
+type simPicker struct {
+	front *simFront
+	route *table.Route
+}
+
+func (p *simPicker) Pick(now time.Time, service string, tried []string) (*table.Target, place.Standing) {
+	s := p.front.sim
+	list := s.byName[service]
+	if s.plain {
+		if len(tried) > 0 {
+			return nil, place.Busy
+		}
+		return list[s.rnd.IntN(len(list))], place.Usable
+	}
+	if t, ok := p.front.board.Pick(now, s.rnd, p.route.Name, list, tried); ok {
+		return t, place.Usable
+	}
+	standing := place.Down
+	for _, t := range list {
+		if slices.Contains(tried, t.ID) || p.front.board.Standing(t) == place.Busy {
+			standing = place.Busy
+		}
+	}
+	return nil, standing
+}
+
+func (p *simPicker) Repeat(now time.Time, service string) bool {
+	return !p.front.sim.plain && p.front.budget.Take(now, service)
+}
+
+func (p *simPicker) First(now time.Time, service string) { p.front.budget.Sent(now, service) }
+
+func (p *simPicker) Late() time.Duration {
+	_, high := p.front.board.Usual(p.route.Name)
+	return high
+}
+
+// logNormal returns work times with a mean and the spread of a standard deviation of the logarithm.
+func (s *sim) logNormal(mean time.Duration, spread float64) func() time.Duration {
+	return func() time.Duration {
+		return time.Duration(float64(mean) * math.Exp(spread*s.rnd.NormFloat64()-spread*spread/2))
+	}
+}
+
+// poisson starts requests at a rate until a time.
+func (s *sim) poisson(perSecond func(t time.Duration) float64, until time.Duration, start func()) {
+	var next func()
+	next = func() {
+		start()
+		rate := max(perSecond(s.now.Sub(simStart)), 0.01)
+		s.after(time.Duration(s.rnd.ExpFloat64()/rate*float64(time.Second)), func() {
+			if s.now.Sub(simStart) < until {
+				next()
+			}
+		})
+	}
+	s.at(simStart, next)
+}
+
+// value returns what callers got between two times, 0..1: an answer within the goal counts by the square of its
+// coverage, a late one a tenth of that.
+func (s *sim) value(from, to time.Duration) float64 {
+	var got, owed float64
+	for _, d := range s.done {
+		since := d.at.Sub(simStart)
+		if since < from || since >= to {
+			continue
+		}
+		owed++
+		switch {
+		case !d.code.OK():
+		case d.took <= d.route.Goal:
+			got += d.share * d.share
+		default:
+			got += 0.1 * d.share * d.share
+		}
+	}
+	if owed == 0 {
+		return 0
+	}
+	return got / owed
+}
--- /dev/null
+++ b/internal/spend/spend_test.go
@@ -0,0 +1,76 @@
+package spend
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestReserveIsShared(t *testing.T) {
+	b := New(Config{Ratio: 0.2, Reserve: 56})
+	b.SetSize(8)
+	n := 0
+	for b.Take(start, "s") {
+		n++
+	}
+	assert.Equal(t, n, 5) // 56/8, less the margin
+	assert.Assert(t, b.Take(start.Add(11*time.Second), "s"))
+}
+
+func TestReturnedSendCanBeTakenAgain(t *testing.T) {
+	b := New(Config{Reserve: 1.2})
+	assert.Assert(t, b.Take(start, "s"))
+	assert.Assert(t, !b.Take(start, "s"))
+	b.Return(start, "s")
+	assert.Assert(t, b.Take(start, "s"))
+}
+
+// Over any window, the sends of all processes together stay within the fleet's budget, also while sizes differ.
+func TestFleetKeepsTheBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const window = 10 * time.Second
+		size := rapid.IntRange(1, 12).Draw(rt, "size")
+		fleet := make([]*Budget, size)
+		for i := range fleet {
+			fleet[i] = New(Config{Ratio: 0.2, Reserve: 56, Window: window})
+			fleet[i].SetSize(size)
+		}
+		type event struct {
+			at   time.Time
+			more bool
+		}
+		var events []event
+		now := start
+		for range rapid.IntRange(100, 1500).Draw(rt, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(rt, "ms")) * time.Millisecond)
+			b := fleet[rapid.IntRange(0, size-1).Draw(rt, "process")]
+			if rapid.Bool().Draw(rt, "first") {
+				b.Sent(now, "s")
+				events = append(events, event{now, false})
+			} else if b.Take(now, "s") {
+				events = append(events, event{now, true})
+			}
+		}
+		for i, last := range events {
+			var first, before, more float64
+			for _, e := range events[:i+1] {
+				age := last.at.Sub(e.at)
+				switch {
+				case e.more && age < window:
+					more++
+				case !e.more && age < window:
+					first++
+				case !e.more && age < 3*window/2:
+					before++
+				}
+			}
+			if more > 0.2*(first+before)+56 {
+				rt.Fatalf("%v repeats for %v requests", more, first+before)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/table/table_test.go
@@ -0,0 +1,72 @@
+package table
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func book(t *testing.T) *Book {
+	t.Helper()
+	b := New()
+	assert.Assert(t, b.SetConfig(Config{Version: 3, Routes: []Route{
+		{Name: "short", Host: "desk", Prefix: "/a/"},
+		{Name: "long", Host: "desk", Prefix: "/a/b/"},
+		{Name: "other", Host: "ledger", Prefix: "/a/"},
+	}, Services: []Service{{Name: "desk-01", Connections: 26, WarmupFor: time.Second}}}))
+	return b
+}
+
+func TestMatchTakesLongestPrefixOfHost(t *testing.T) {
+	v := book(t).View()
+	for _, c := range []struct{ host, path, want string }{
+		{"desk", "/a/x", "short"},
+		{"desk", "/a/b/x", "long"},
+		{"desk", "/a/b", "short"}, // a prefix ends with a slash
+		{"ledger", "/a/b/x", "other"},
+		{"ledger", "/b/", ""},
+		{"nobody", "/a/x", ""},
+	} {
+		r, ok := v.Match(c.host, c.path)
+		assert.Equal(t, ok, c.want != "", c.path)
+		if ok {
+			assert.Equal(t, r.Name, c.want)
+		}
+	}
+}
+
+// An older version that arrives late, from a peer or a slow read, must not come into force.
+func TestConfigNeverGoesBack(t *testing.T) {
+	b := book(t)
+	assert.Assert(t, !b.SetConfig(Config{Version: 3}))
+	assert.Assert(t, !b.SetConfig(Config{Version: 2}))
+	assert.Equal(t, len(b.View().Config.Routes), 3)
+	assert.Assert(t, b.SetConfig(Config{Version: 9}))
+	_, ok := b.View().Match("desk", "/a/x")
+	assert.Assert(t, !ok)
+}
+
+func TestTargetsThatTakeNothingNewAreLeftOut(t *testing.T) {
+	b := book(t)
+	b.SetTarget(Target{ID: "t2", Service: "desk-01", DataCentre: "b"})
+	b.SetTarget(Target{ID: "t1", Service: "desk-01", DataCentre: "a"})
+	b.SetTarget(Target{ID: "t3", Service: "desk-01", DataCentre: "a", Leaving: true})
+	before := b.View()
+	ids := func(v *View) (out []string) {
+		for _, t := range v.Targets("desk-01") {
+			out = append(out, t.ID)
+		}
+		return out
+	}
+	assert.DeepEqual(t, ids(before), []string{"t1", "t2"})
+	assert.Assert(t, before.Known("t3"))
+
+	b.Exclude("a", true)
+	assert.DeepEqual(t, ids(b.View()), []string{"t2"})
+	b.Exclude("a", false)
+	b.RemoveTarget("t2")
+	assert.DeepEqual(t, ids(b.View()), []string{"t1"})
+	// A view that traffic holds doesn't change.
+	assert.DeepEqual(t, ids(before), []string{"t1", "t2"})
+}
