--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -233,7 +233,9 @@
 }
 
 // Repeat implements quest.Picker.
-func (p *picker) Repeat(now time.Time, service string) bool { return p.entry.budget.Take(now, service) }
+func (p *picker) Repeat(now time.Time, service string, failed bool) bool {
+	return p.entry.budget.Take(now, service, failed)
+}
 
 // First implements quest.Picker.
 func (p *picker) First(now time.Time, service string) { p.entry.budget.Sent(now, service) }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -70,6 +70,8 @@
 	reportHalf    = 60 * time.Millisecond // a reported load counts half after this long
 	downStart     = 250 * time.Millisecond
 	silentInRow   = 3 // silences without any reply between them
+	// silentLong is several times the longest pause of a healthy target; one such silence is enough.
+	silentLong = 200 * time.Millisecond
 	brokenInRow   = 2
 	coldFactor    = 1.6 // a target without a reply yet is assumed to be this much slower
 	highPercent   = 0.92
@@ -321,13 +323,14 @@
 			b.takeDown(now, s)
 		}
 	case Silent:
-		b.silent(now, s)
+		b.silent(now, s, r.Latency)
 	}
 }
 
-func (b *Board) silent(now time.Time, s *target) {
+// silent takes a send without a reply for the given time. A target that was wrongly taken out is back after one probe.
+func (b *Board) silent(now time.Time, s *target, after time.Duration) {
 	s.faults = s.faults*faultKeep + (1 - faultKeep)
-	if s.silences++; s.silences >= silentInRow {
+	if s.silences++; s.silences >= silentInRow || after >= silentLong {
 		b.takeDown(now, s)
 	}
 }
@@ -359,7 +362,7 @@
 	s.closed(now.Add(-after))
 	b.observe(s, b.route(route), after, false)
 	if limit := 4 * b.route(route).mean; after.Seconds() > limit && !s.last.After(now.Add(-after)) {
-		b.silent(now, s)
+		b.silent(now, s, after)
 	}
 }
 
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -143,6 +143,21 @@
 	assert.Assert(t, b.Down("t0"))
 }
 
+// One long silence is enough: with many targets dark at once, three each would cost every request a second.
+func TestLongSilence(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	answer(b, at(0), "t0", 50, ms(10))
+	b.Sent(at(0), "t0")
+	b.Abandoned(at(250), "t0", "r", ms(250))
+	assert.Assert(t, b.Down("t0"))
+
+	// Not if it has replied to others meanwhile.
+	b.Sent(at(0), "t1")
+	answer(b, at(200), "t1", 1, ms(10))
+	b.Abandoned(at(250), "t1", "r", ms(250))
+	assert.Assert(t, !b.Down("t1"))
+}
+
 // A target that answers its health page and fails requests gets few requests, and more once it has answered some.
 func TestFailingTarget(t *testing.T) {
 	b := New(Config{DataCentre: "here"})
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -37,6 +37,7 @@
 type Config struct {
 	AnswerTime time.Duration // that an answer needs from here to the caller
 	HedgeFloor time.Duration // no send is backed by a second one sooner
+	HedgeShare float64       // of the route's goal; a send is backed by a second one after it at the latest
 	WaitStep   time.Duration // a part without a usable target looks again this often
 	DownAfter  time.Duration // Retry-After when targets are out
 	BusyAfter  time.Duration // Retry-After when targets have no room
@@ -49,6 +50,8 @@
 	DefaultAnswerTime = 7 * time.Millisecond
 	// DefaultHedgeFloor is a round trip between data centres and a wake-up at each end.
 	DefaultHedgeFloor = 6 * time.Millisecond
+	// DefaultHedgeShare leaves the second send twice the time of the first.
+	DefaultHedgeShare = 0.3
 	DefaultWaitStep   = 5 * time.Millisecond
 	// DefaultDownAfter is the interval at which targets that are out are probed.
 	DefaultDownAfter = 500 * time.Millisecond
@@ -107,8 +110,8 @@
 type Picker interface {
 	// Pick returns a target for the service; false and the reason if there is none now.
 	Pick(now time.Time, service string, tried []string) (*table.Target, place.Standing)
-	// Repeat takes one more send to the service from the budget.
-	Repeat(now time.Time, service string) bool
+	// Repeat takes one more send to the service from the budget. Failed says that it replaces one that has failed.
+	Repeat(now time.Time, service string, failed bool) bool
 	// First counts the first send to a service.
 	First(now time.Time, service string)
 	// Late returns the time after which a send is later than nearly all.
@@ -154,6 +157,7 @@
 func New(cfg Config, route *table.Route, services []string, picker Picker, now time.Time, patience time.Duration) *Plan {
 	cfg.AnswerTime = cmp.Or(cfg.AnswerTime, DefaultAnswerTime)
 	cfg.HedgeFloor = cmp.Or(cfg.HedgeFloor, DefaultHedgeFloor)
+	cfg.HedgeShare = cmp.Or(cfg.HedgeShare, DefaultHedgeShare)
 	cfg.WaitStep = cmp.Or(cfg.WaitStep, DefaultWaitStep)
 	cfg.DownAfter = cmp.Or(cfg.DownAfter, DefaultDownAfter)
 	cfg.BusyAfter = cmp.Or(cfg.BusyAfter, DefaultBusyAfter)
@@ -231,7 +235,7 @@
 		}
 		return out
 	}
-	if again && !p.picker.Repeat(now, part.service) {
+	if again && !p.picker.Repeat(now, part.service, part.open == 0) {
 		if part.open == 0 {
 			p.lose(part, ReasonAttempts)
 		}
@@ -341,7 +345,11 @@
 }
 
 func (p *Plan) hedgeAt(part *part) time.Time {
-	return part.sentAt.Add(max(p.picker.Late(), p.cfg.HedgeFloor))
+	late := p.picker.Late()
+	if p.route.Goal > 0 {
+		late = min(late, time.Duration(p.cfg.HedgeShare*float64(p.route.Goal)))
+	}
+	return part.sentAt.Add(max(late, p.cfg.HedgeFloor))
 }
 
 // Wake returns when Tick is next due.
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -30,7 +30,7 @@
 	return nil, p.standing
 }
 
-func (p *fakePicker) Repeat(time.Time, string) bool {
+func (p *fakePicker) Repeat(time.Time, string, bool) bool {
 	p.repeats--
 	return p.repeats >= 0
 }
--- a/internal/quest/sim_test.go
+++ b/internal/quest/sim_test.go
@@ -244,8 +244,8 @@
 	return nil, standing
 }
 
-func (p *simPicker) Repeat(now time.Time, service string) bool {
-	return !p.front.sim.plain && p.front.budget.Take(now, service)
+func (p *simPicker) Repeat(now time.Time, service string, failed bool) bool {
+	return !p.front.sim.plain && p.front.budget.Take(now, service, failed)
 }
 
 func (p *simPicker) First(now time.Time, service string) { p.front.budget.Sent(now, service) }
--- a/internal/spend/spend.go
+++ b/internal/spend/spend.go
@@ -5,11 +5,16 @@
 //	b := spend.New(spend.Config{Ratio: 0.2, Reserve: 56, Window: 10 * time.Second})
 //	b.SetSize(n)                       // processes that share the reserve
 //	b.Sent(now, "desk-01")             // the first send of a request to a service
-//	if b.Take(now, "desk-01") { ... }  // one more send to it
+//	if b.Take(now, "desk-01", false) { ... }  // one more send to it
 //
 // The budget of a service is Ratio times the first sends in the window, plus a share of Reserve. The ratio needs no
 // agreement, since the sums of all processes keep it if each does; the reserve is divided by the number of processes.
 // Each process keeps Margin of its part back for the differences between its window and any other.
+//
+// # Load pattern
+//
+// When targets crash while others are slow, sends that back up late ones would use up what sends that replace failed
+// ones need. Only the latter may use the last part, Kept, of the budget.
 package spend
 
 import (
@@ -23,6 +28,7 @@
 	Reserve float64 // of the whole fleet
 	Window  time.Duration
 	Margin  float64 // 0..1
+	Kept    float64 // 0..1; part of the budget for sends that replace failed ones
 }
 
 // Defaults of Config.
@@ -30,6 +36,8 @@
 	DefaultWindow = 10 * time.Second
 	// DefaultMargin covers a step of the window and requests whose window ends between a send and its repeat.
 	DefaultMargin = 0.15
+	// DefaultKept covers the first sends of a second to a third of the targets, at one in five.
+	DefaultKept = 0.3
 )
 
 const steps = 20 // of a window
@@ -51,6 +59,7 @@
 func New(cfg Config) *Budget {
 	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
 	cfg.Margin = cmp.Or(cfg.Margin, DefaultMargin)
+	cfg.Kept = cmp.Or(cfg.Kept, DefaultKept)
 	return &Budget{cfg: cfg, size: 1, accounts: map[string]*account{}}
 }
 
@@ -83,23 +92,27 @@
 	a.first[a.at%steps]++
 }
 
-// Left returns how many more sends the service bears now.
-func (b *Budget) Left(now time.Time, service string) float64 {
-	a := b.account(now, service)
-	var first, more float64
+// total returns the budget of the window, and what of it was used.
+func (b *Budget) total(a *account) (whole, used float64) {
+	var first float64
 	for i := range steps {
 		first += a.first[i]
-		more += a.more[i]
+		used += a.more[i]
 	}
-	return (b.cfg.Ratio*first+b.cfg.Reserve/float64(b.size))*(1-b.cfg.Margin) - more
+	return (b.cfg.Ratio*first + b.cfg.Reserve/float64(b.size)) * (1 - b.cfg.Margin), used
 }
 
-// Take takes one more send from the budget; it reports false if none is left.
-func (b *Budget) Take(now time.Time, service string) bool {
-	if b.Left(now, service) < 1 {
+// Take takes one more send from the budget; it reports false if none is left. Failed says that the send replaces one
+// that has failed.
+func (b *Budget) Take(now time.Time, service string, failed bool) bool {
+	a := b.account(now, service)
+	whole, used := b.total(a)
+	if !failed {
+		whole *= 1 - b.cfg.Kept
+	}
+	if used+1 > whole {
 		return false
 	}
-	a := b.account(now, service)
 	a.more[a.at%steps]++
 	return true
 }
--- a/internal/spend/spend_test.go
+++ b/internal/spend/spend_test.go
@@ -14,19 +14,33 @@
 	b := New(Config{Ratio: 0.2, Reserve: 56})
 	b.SetSize(8)
 	n := 0
-	for b.Take(start, "s") {
+	for b.Take(start, "s", true) {
 		n++
 	}
 	assert.Equal(t, n, 5) // 56/8, less the margin
-	assert.Assert(t, b.Take(start.Add(11*time.Second), "s"))
+	assert.Assert(t, b.Take(start.Add(11*time.Second), "s", true))
+}
+
+// Sends that replace failed ones must still find a budget when late ones have used theirs.
+func TestPartIsKeptForFailures(t *testing.T) {
+	b := New(Config{Reserve: 20})
+	n := 0
+	for b.Take(start, "s", false) {
+		n++
+	}
+	assert.Equal(t, n, 11) // 20, less the margin and the part that is kept
+	for b.Take(start, "s", true) {
+		n++
+	}
+	assert.Equal(t, n, 17)
 }
 
 func TestReturnedSendCanBeTakenAgain(t *testing.T) {
 	b := New(Config{Reserve: 1.2})
-	assert.Assert(t, b.Take(start, "s"))
-	assert.Assert(t, !b.Take(start, "s"))
+	assert.Assert(t, b.Take(start, "s", true))
+	assert.Assert(t, !b.Take(start, "s", true))
 	b.Return(start, "s")
-	assert.Assert(t, b.Take(start, "s"))
+	assert.Assert(t, b.Take(start, "s", true))
 }
 
 // Over any window, the sends of all processes together stay within the fleet's budget, also while sizes differ.
@@ -51,7 +65,7 @@
 			if rapid.Bool().Draw(rt, "first") {
 				b.Sent(now, "s")
 				events = append(events, event{now, false})
-			} else if b.Take(now, "s") {
+			} else if b.Take(now, "s", rapid.Bool().Draw(rt, "failed")) {
 				events = append(events, event{now, true})
 			}
 		}
