--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -61,17 +61,20 @@
 )
 
 const (
-	usualStart    = 10 * time.Millisecond // of a route before its first reply
-	usualKeep     = 0.98                  // weight of the past in the usual time of a route
-	speedKeep     = 0.85                  // weight of the past in the speed of a target
-	faultKeep     = 0.85                  // weight of the past in the share of failures
-	faultWeight   = 12                    // a target that always fails counts as this many times slower, and one more
-	maxSpeed      = 20
-	reportHalf    = 60 * time.Millisecond // a reported load counts half after this long
-	downStart     = 250 * time.Millisecond
-	silentInRow   = 3 // silences without any reply between them
-	// silentLong is several times the longest pause of a healthy target; one such silence is enough.
-	silentLong = 200 * time.Millisecond
+	usualStart  = 10 * time.Millisecond // of a route before its first reply
+	usualKeep   = 0.98                  // weight of the past in the usual time of a route
+	speedKeep   = 0.85                  // weight of the past in the speed of a target
+	faultKeep   = 0.85                  // weight of the past in the share of failures
+	faultWeight = 12                    // a target that always fails counts as this many times slower, and one more
+	maxSpeed    = 20
+	reportHalf  = 60 * time.Millisecond // a reported load counts half after this long
+	downStart   = 250 * time.Millisecond
+	silentInRow = 3 // silences without any reply between them
+	silentShort = 4 // times the usual time of the route; less is no silence
+	// One silence of silentLong, which is above the pauses of healthy targets, is enough if it is also silentMany times
+	// the usual time of the route.
+	silentLong    = 200 * time.Millisecond
+	silentMany    = 8
 	brokenInRow   = 2
 	coldFactor    = 1.6 // a target without a reply yet is assumed to be this much slower
 	highPercent   = 0.92
@@ -323,14 +326,19 @@
 			b.takeDown(now, s)
 		}
 	case Silent:
-		b.silent(now, s, r.Latency)
+		b.silent(now, s, b.route(route), r.Latency)
 	}
 }
 
-// silent takes a send without a reply for the given time. A target that was wrongly taken out is back after one probe.
-func (b *Board) silent(now time.Time, s *target, after time.Duration) {
+// silent takes a send without a reply for the given time. A target that has replied to others meanwhile is not silent;
+// one that was wrongly taken out is back after one probe.
+func (b *Board) silent(now time.Time, s *target, u *usual, after time.Duration) {
+	if after.Seconds() < silentShort*u.mean || s.last.After(now.Add(-after)) {
+		return
+	}
 	s.faults = s.faults*faultKeep + (1 - faultKeep)
-	if s.silences++; s.silences >= silentInRow || after >= silentLong {
+	s.silences++
+	if s.silences >= silentInRow || after >= silentLong && after.Seconds() >= silentMany*u.mean {
 		b.takeDown(now, s)
 	}
 }
@@ -361,9 +369,7 @@
 	s := b.get(id)
 	s.closed(now.Add(-after))
 	b.observe(s, b.route(route), after, false)
-	if limit := 4 * b.route(route).mean; after.Seconds() > limit && !s.last.After(now.Add(-after)) {
-		b.silent(now, s, after)
-	}
+	b.silent(now, s, b.route(route), after)
 }
 
 // takeDown takes a target out until its health page answers.
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -72,9 +72,12 @@
 	ReasonNoTargets   Reason = "no_usable_target"
 	ReasonBusy        Reason = "targets_busy"
 	ReasonFailed      Reason = "target_failed"
+	ReasonRefused     Reason = "send_did_not_run"
 	ReasonBroken      Reason = "connection_lost_after_send"
 	ReasonDeadline    Reason = "deadline"
 	ReasonAttempts    Reason = "attempts_used_up"
+	ReasonBudget      Reason = "retry_budget_used_up"
+	ReasonUnsafe      Reason = "may_run_only_once"
 	ReasonUnservable  Reason = "too_many_parts_lost"
 	ReasonLeastFailed Reason = "too_few_parts_answered"
 )
@@ -101,7 +104,8 @@
 type Finish struct {
 	Code       codes.Code
 	Reason     Reason
-	Tries      []int // whose replies make the answer, one for each covered part
+	After      Reason // how the last send ended that made the plan give up a part
+	Tries      []int  // whose replies make the answer, one for each covered part
 	Missing    int
 	RetryAfter time.Duration // with a code that says not run
 }
@@ -128,7 +132,8 @@
 	lost    bool
 	failed  int // a try with a target's own failure, or -1
 	waiting bool
-	why     Reason
+	why     Reason // why it is lost or waits
+	after   Reason // how its last send ended
 }
 
 type try struct {
@@ -204,6 +209,11 @@
 
 func (p *Plan) finish(out []Action, f *Finish) []Action {
 	p.finished = true
+	for i := range p.parts {
+		if part := &p.parts[i]; part.lost && part.after != "" {
+			f.After = part.after
+		}
+	}
 	return append(out, Action{Finish: f})
 }
 
@@ -236,9 +246,7 @@
 		return out
 	}
 	if again && !p.picker.Repeat(now, part.service, part.open == 0) {
-		if part.open == 0 {
-			p.lose(part, ReasonAttempts)
-		}
+		p.lose(part, ReasonBudget)
 		return out
 	}
 	return append(out, Action{Send: p.send(now, i, t, left, again)})
@@ -281,6 +289,7 @@
 		out = p.again(now, i, ReasonFailed, out)
 	case place.Refused, place.Replaced, place.Unsent:
 		part.ran--
+		part.after = ReasonRefused
 		if !part.done && part.open == 0 {
 			out = p.dispatch(now, i, out)
 		}
@@ -296,16 +305,13 @@
 // again sends a part that failed to another target, if it may run again.
 func (p *Plan) again(now time.Time, i int, why Reason, out []Action) []Action {
 	part := &p.parts[i]
-	if part.done || part.open > 0 {
-		return out
-	}
-	if p.route.Kind != table.Safe {
-		p.lose(part, why)
-		return out
-	}
-	out = p.dispatch(now, i, out)
-	if part.lost {
-		part.why = why
+	part.after = why
+	switch {
+	case part.done || part.open > 0:
+	case p.route.Kind != table.Safe:
+		p.lose(part, ReasonUnsafe)
+	default:
+		out = p.dispatch(now, i, out)
 	}
 	return out
 }
@@ -479,7 +485,7 @@
 	case part.done:
 		return p.answer(ReasonWhole)
 	case part.lost && part.failed >= 0:
-		return &Finish{Code: codes.TargetFailed, Reason: ReasonFailed, Tries: []int{part.failed}}
+		return &Finish{Code: codes.TargetFailed, Reason: part.why, Tries: []int{part.failed}}
 	case part.lost && part.ran > 0:
 		return &Finish{Code: codes.OutcomeUnknown, Reason: part.why}
 	case part.lost:
