--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,80 +11,217 @@
 
 var start = time.Unix(1000, 0)
 
-func ready(incarnation uint64) Sign { return Sign{Incarnation: incarnation, Ready: true} }
+// world is a fleet whose links carry signs of life and statements at once.
+type world struct {
+	now   time.Time
+	ids   []string
+	views map[string]*View
+	cut   map[string]bool // processes whose links carry nothing
+	fresh map[string]bool // processes whose links have just opened
+	sent  int             // statements on links
+}
 
-// fleet returns a view that has just heard n ready processes.
-func fleet(n int) *View {
-	v := New(Config{}, "self", nil, start)
+func newWorld(n int, cfg Config) *world {
+	w := &world{now: start, views: map[string]*View{}, cut: map[string]bool{}, fresh: map[string]bool{}}
 	for i := range n {
-		v.Pong(start, fmt.Sprint("vm-", i), ready(1))
+		w.ids = append(w.ids, fmt.Sprintf("vm-%02d", i))
+	}
+	for _, id := range w.ids {
+		w.start(id, cfg, 1)
+	}
+	return w
+}
+
+func (w *world) start(id string, cfg Config, incarnation uint64) {
+	v := New(cfg, id, incarnation, w.ids[:min(3, len(w.ids))], w.now)
+	v.State(true, false)
+	w.views[id] = v
+	w.fresh[id] = true
+}
+
+// step lets 100 ms pass: pings on all links, then statements along them.
+func (w *world) step() {
+	w.now = w.now.Add(100 * time.Millisecond)
+	neighbours := map[string]map[string]bool{}
+	for id, v := range w.views {
+		for _, other := range v.Peers(w.now) {
+			if w.views[other] == nil || w.cut[id] != w.cut[other] {
+				continue
+			}
+			for _, pair := range [][2]string{{id, other}, {other, id}} {
+				if neighbours[pair[0]] == nil {
+					neighbours[pair[0]] = map[string]bool{}
+				}
+				neighbours[pair[0]][pair[1]] = true
+				w.views[pair[0]].Sign(w.now, pair[1])
+				if w.fresh[pair[0]] || w.fresh[pair[1]] {
+					w.views[pair[1]].Take(w.now, pair[0], w.views[pair[0]].Newer(w.views[pair[1]].Summary()))
+				}
+			}
+		}
+	}
+	clear(w.fresh)
+	for id, v := range w.views {
+		v.Tick(w.now)
+		news := v.News()
+		for other := range neighbours[id] {
+			for _, item := range news {
+				if item.From != other {
+					w.views[other].Take(w.now, id, []Statement{item.Statement})
+					w.sent++
+				}
+			}
+		}
+	}
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.step()
+	}
+}
+
+func TestFleetFindsItself(t *testing.T) {
+	for _, n := range []int{1, 2, 9, 14, 80} {
+		w := newWorld(n, Config{})
+		w.run(5 * time.Second)
+		for id, v := range w.views {
+			assert.Equal(t, len(v.Callable()), n-1, "%d processes, %s", n, id)
+			assert.Equal(t, v.Size(w.now), n)
+		}
 	}
-	return v
-}
-
-func TestOnlyProcessesThatAnswerAreNamed(t *testing.T) {
-	v := New(Config{}, "self", []string{"self", "seed"}, start)
-	assert.Assert(t, v.Heard(start, []string{"self", "x"}))
-	assert.Assert(t, !v.Heard(start, []string{"x"}))
-	assert.DeepEqual(t, v.Peers(start), []string{"seed", "x"})
-	assert.Equal(t, len(v.Callable(start)), 0)
-	assert.Assert(t, v.Pong(start, "x", ready(1)))
-	assert.Assert(t, !v.Pong(start, "seed", Sign{Incarnation: 1}))
-	assert.DeepEqual(t, v.Callable(start), []string{"x"})
-}
-
-// A process that was killed must not be named to callers for longer than 7 s; one alone is left out much sooner.
-func TestSilentProcessIsLeftOut(t *testing.T) {
-	v := fleet(4)
-	later := start.Add(DefaultSilence + time.Millisecond)
-	for i := range 3 {
-		v.Pong(later, fmt.Sprint("vm-", i), ready(1))
+}
+
+// In a large fleet a process has links to a few others only.
+func TestLinksStayFew(t *testing.T) {
+	w := newWorld(200, Config{})
+	w.run(3 * time.Second)
+	for _, v := range w.views {
+		assert.Assert(t, len(v.Peers(w.now)) <= DefaultLinks+DefaultRetries)
+	}
+}
+
+// A fleet that starts must not spend its links on statements: 80 processes have a few each to tell, along 10 links.
+func TestStartIsNotNoisy(t *testing.T) {
+	w := newWorld(80, Config{})
+	w.run(10 * time.Second)
+	before := w.sent
+	t.Logf("%d statements, %.1f for each process and link", before, float64(before)/(80*80*10))
+	assert.Assert(t, before < 80*80*10*4, "%d statements", before)
+	w.run(10 * time.Second)
+	assert.Equal(t, w.sent, before)
+}
+
+// Links must not move while nothing changes, also if the caller adds its own to the list.
+func TestLinksStay(t *testing.T) {
+	w := newWorld(40, Config{})
+	w.run(6 * time.Second)
+	before := map[string][]string{}
+	for id, v := range w.views {
+		before[id] = v.Peers(w.now)
+	}
+	for range 50 {
+		w.step()
+		for id, v := range w.views {
+			peers := v.Peers(w.now)
+			assert.DeepEqual(t, peers, before[id])
+			peers = append(peers, "another")
+			peers[0] = "another"
+		}
+	}
+}
+
+// A process that was killed must not be named to callers for longer than 7 s, also when half of the fleet goes with it;
+// all that are left must still find each other.
+func TestKilledProcessesAreDropped(t *testing.T) {
+	for _, share := range []float64{0.02, 0.3, 0.6} {
+		w := newWorld(60, Config{})
+		w.run(3 * time.Second)
+		rnd := rand.New(rand.NewPCG(1, uint64(share*100)))
+		for _, id := range w.ids {
+			if rnd.Float64() < share {
+				delete(w.views, id)
+			}
+		}
+		w.run(7 * time.Second)
+		for id, v := range w.views {
+			assert.Equal(t, len(v.Callable()), len(w.views)-1, "share %v, %s", share, id)
+		}
 	}
-	assert.DeepEqual(t, v.Callable(later), []string{"vm-0", "vm-1", "vm-2"})
 }
 
-// When most fall silent at once, this process is more likely cut off than they are dead; within 7 s they are dropped
-// all the same.
-func TestMostSilentAtOnce(t *testing.T) {
-	v := fleet(6)
-	v.Pong(start.Add(3*time.Second), "vm-0", ready(1))
-	assert.Equal(t, len(v.Callable(start.Add(3*time.Second))), 6)
-	assert.Equal(t, len(v.Callable(start.Add(7*time.Second))), 0)
+// A process whose own links are cut still names the others for a while.
+func TestCutOffProcessKeepsTheList(t *testing.T) {
+	w := newWorld(9, Config{})
+	w.run(3 * time.Second)
+	w.cut["vm-04"] = true
+	w.run(3 * time.Second)
+	assert.Equal(t, len(w.views["vm-04"].Callable()), 8)
+	assert.Equal(t, len(w.views["vm-05"].Callable()), 7)
+	w.run(4 * time.Second)
+	assert.Equal(t, len(w.views["vm-04"].Callable()), 0)
+	delete(w.cut, "vm-04")
+	w.fresh["vm-04"] = true
+	w.run(2 * time.Second)
+	assert.Equal(t, len(w.views["vm-04"].Callable()), 8)
 }
 
 // A stopping process is dropped at its word, and is back with its next incarnation.
 func TestPlannedStop(t *testing.T) {
-	v := fleet(3)
-	v.Leaving("vm-1")
-	assert.DeepEqual(t, v.Callable(start), []string{"vm-0", "vm-2"})
-	v.Pong(start, "vm-1", ready(1)) // sent before the stop
-	assert.DeepEqual(t, v.Callable(start), []string{"vm-0", "vm-2"})
-	v.Pong(start, "vm-1", ready(2))
-	assert.DeepEqual(t, v.Callable(start), []string{"vm-0", "vm-1", "vm-2"})
+	w := newWorld(40, Config{})
+	w.run(3 * time.Second)
+	w.views["vm-07"].State(true, true)
+	w.run(700 * time.Millisecond)
+	assert.Equal(t, len(w.views["vm-30"].Callable()), 38)
+	assert.Equal(t, len(w.views["vm-30"].Running()), 39)
+	w.start("vm-07", Config{}, 2)
+	w.run(2 * time.Second)
+	assert.Equal(t, len(w.views["vm-30"].Callable()), 39)
+}
+
+// The time of day may have stepped back between two lives: the statements of the earlier one must not win.
+func TestRestartWithLowerIncarnation(t *testing.T) {
+	w := newWorld(5, Config{})
+	w.run(2 * time.Second)
+	w.views["vm-04"].State(true, true)
+	w.run(time.Second)
+	w.start("vm-04", Config{}, 0)
+	w.run(2 * time.Second)
+	assert.Equal(t, len(w.views["vm-00"].Callable()), 4)
 }
 
 // Shares of fleet-wide limits must not grow before a silent process can have used up its own.
 func TestSizeShrinksLate(t *testing.T) {
-	v := fleet(3)
-	assert.Equal(t, v.Size(start.Add(9*time.Second)), 4)
-	assert.Equal(t, v.Size(start.Add(11*time.Second)), 1)
-	assert.Assert(t, !v.Settled(start))
-	assert.Assert(t, v.Settled(start.Add(DefaultStart)))
+	w := newWorld(4, Config{})
+	w.run(2 * time.Second)
+	delete(w.views, "vm-03")
+	w.run(9 * time.Second)
+	assert.Equal(t, w.views["vm-00"].Size(w.now), 4)
+	w.run(4 * time.Second)
+	assert.Equal(t, w.views["vm-00"].Size(w.now), 3)
 }
 
-func TestRankCountsRunningProcesses(t *testing.T) {
-	v := New(Config{}, "c", nil, start)
-	v.Pong(start, "a", ready(1))
-	v.Pong(start, "b", ready(1))
-	v.Pong(start, "d", ready(1))
-	assert.Equal(t, v.Rank(start), 2)
-	later := start.Add(2 * time.Second)
-	v.Pong(later, "b", ready(1))
-	assert.Equal(t, v.Rank(later), 1)
+// All processes agree on who reads the platform, and a stopping one isn't among them.
+func TestReaders(t *testing.T) {
+	w := newWorld(30, Config{})
+	w.run(3 * time.Second)
+	readers := w.views["vm-00"].Readers(2)
+	assert.Equal(t, len(readers), 2)
+	for _, v := range w.views {
+		assert.DeepEqual(t, v.Readers(2), readers)
+	}
+	w.views[readers[0]].State(true, true)
+	w.run(time.Second)
+	assert.Assert(t, w.views["vm-00"].Readers(2)[0] != readers[0])
 }
 
 func TestForgottenAfterLongSilence(t *testing.T) {
-	v := New(Config{}, "self", []string{"seed"}, start)
-	v.Pong(start, "x", ready(1))
-	assert.DeepEqual(t, v.Peers(start.Add(DefaultForget+time.Second)), []string{"seed"})
+	v := New(Config{}, "self", 1, []string{"seed"}, start)
+	later := start.Add(DefaultStart)
+	v.Sign(later, "x")
+	v.Tick(later)
+	assert.DeepEqual(t, v.Peers(later), []string{"seed", "x"})
+	later = later.Add(DefaultForget + time.Second)
+	v.Tick(later)
+	assert.DeepEqual(t, v.Peers(later), []string{"seed"})
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fuchsiarelay/fuchsiarelay/internal/crew"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/facts"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
@@ -16,27 +18,35 @@
 
 const (
 	controlTick = 100 * time.Millisecond
-	keepEvery   = time.Second // idle connections and memory of targets are looked through
+	keepEvery   = time.Second      // idle connections and memory of targets are looked through
+	reportEvery = 10 * time.Second // totals are logged
 	probeTime   = 400 * time.Millisecond
 	eventQueue  = 256
+	// newsDelay collects statements on their way; a few hops stay well below a second.
+	newsDelay = 50 * time.Millisecond
+	// chaseAfter is above the time in which documents come through a reader.
+	chaseAfter = 400 * time.Millisecond
 	// startSize divides the fleet's limits before this process has heard its peers.
 	startSize = 64
 )
 
 // control owns what this process believes. Its fields belong to loop.
 type control struct {
-	entry   *Entry
-	events  chan func(c *control, now time.Time)
-	ended   chan struct{} // closed when loop has returned
-	book    *table.Book
-	facts   *facts.Set
-	crew    *crew.View
-	follow  *follower
-	proof   time.Time // when the platform confirmed the documents last; zero: never
-	waiting []waitingSync
-	peers   []string
-	opened  uint64
-	keptAt  time.Time
+	entry      *Entry
+	events     chan func(c *control, now time.Time)
+	ended      chan struct{} // closed when loop has returned
+	book       *table.Book
+	facts      *facts.Set
+	crew       *crew.View
+	follow     *follower
+	proof      time.Time // when the platform confirmed the documents last; zero: never
+	waiting    []waitingSync
+	peers      []string
+	keptAt     time.Time
+	reportedAt time.Time
+	newsAt     time.Time // when statements are to be passed on; zero: none wait
+	behind     time.Time // since when a peer has newer documents; zero: none has
+	chasing    bool      // newer documents have been asked for
 }
 
 // waitingSync is a peer's request for changes that has no answer yet.
@@ -53,7 +63,7 @@
 	}
 	c := &control{
 		entry: e, events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
-		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{}, e.Self.String(), seeds, now),
+		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{}, e.Self.String(), e.incarnation, seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
 	return c
@@ -105,8 +115,16 @@
 		c.apply(changed)
 	}
 	c.publish(now)
+	if !c.newsAt.IsZero() && !now.Before(c.newsAt) {
+		c.sendNews()
+	}
 	c.answerSyncs(now)
 	c.probe(now)
+	if now.Sub(c.reportedAt) >= reportEvery {
+		c.reportedAt = now
+		c.entry.Log.Info("traffic", "peers", c.entry.hub.Traffic(), "store_reads", c.follow.reads.Load(), "links_opened", c.entry.hub.Opened(),
+			"connections_opened", c.entry.pool.Dialed(), "in_flight", c.entry.inFlight.Load(), "processes", c.crew.Size(now), "as_of", c.facts.AsOf())
+	}
 	if now.Sub(c.keptAt) >= keepEvery {
 		c.keptAt = now
 		view := c.entry.view.Load()
@@ -120,13 +138,16 @@
 // publish makes what has changed visible to traffic and peers.
 func (c *control) publish(now time.Time) {
 	e := c.entry
+	c.crew.Tick(now)
+	e.asOf.Store(c.facts.AsOf())
 	view := c.book.View()
 	size := c.crew.Size(now)
 	if !c.crew.Settled(now) {
 		size = startSize
 	}
-	if old := e.limits.Load(); old.size != size || old.view != view {
-		e.limits.Store(&shares{size: size, view: view})
+	running := c.crew.Running()
+	if old := e.limits.Load(); old.size != size || old.view != view || !slices.Equal(old.members, running) {
+		e.limits.Store(&shares{size: size, members: running, self: e.Self.String(), view: view, mine: map[string]bool{}})
 		e.mu.Lock()
 		e.budget.SetSize(size)
 		e.mu.Unlock()
@@ -136,17 +157,19 @@
 	if e.ready.Swap(ready) != ready {
 		e.Log.Info("readiness changed", "ready", ready, "as_of", c.facts.AsOf())
 	}
-	c.publishAddresses(now)
+	c.crew.State(ready, e.stopping.Load())
+	c.publishAddresses()
 	c.link(now)
+	c.newsSoon(now)
 }
 
-func (c *control) publishAddresses(now time.Time) {
+func (c *control) publishAddresses() {
 	e := c.entry
 	var list []netip.AddrPort
 	if e.Ready() {
 		list = append(list, netip.AddrPortFrom(e.Self.Addr(), e.CallerPort))
 	}
-	for _, id := range c.crew.Callable(now) {
+	for _, id := range c.crew.Callable() {
 		if addr, err := netip.ParseAddrPort(id); err == nil {
 			list = append(list, netip.AddrPortFrom(addr.Addr(), e.CallerPort))
 		}
@@ -157,27 +180,116 @@
 	}
 }
 
-// link keeps links to all known processes, and names all of them on new links.
+// link keeps the links that the crew asks for, and one to the reader that this process follows.
 func (c *control) link(now time.Time) {
 	e := c.entry
 	peers := c.crew.Peers(now)
-	if !slices.Equal(peers, c.peers) {
-		c.peers = peers
-		vms := make([]plat.VM, 0, len(peers))
-		for _, id := range peers {
-			if addr, err := netip.ParseAddrPort(id); err == nil {
-				vms = append(vms, plat.VM{ID: id, PeerAddr: addr})
+	if reader := c.reader(); reader != "" && !slices.Contains(peers, reader) {
+		peers = append(peers, reader)
+		slices.Sort(peers)
+	}
+	if slices.Equal(peers, c.peers) {
+		return
+	}
+	c.peers = peers
+	vms := make([]plat.VM, 0, len(peers))
+	for _, id := range peers {
+		if addr, err := netip.ParseAddrPort(id); err == nil {
+			vms = append(vms, plat.VM{ID: id, PeerAddr: addr})
+		}
+	}
+	e.hub.SetPeers(vms)
+}
+
+// reader returns the process whose documents this one follows; empty if it reads the platform itself.
+func (c *control) reader() string {
+	self := c.entry.Self.String()
+	readers := c.crew.Readers(readersOf(len(c.crew.Running()) + 1))
+	if len(readers) == 0 || slices.Contains(readers, self) {
+		return ""
+	}
+	return readers[xxhash.Sum64String(self)%uint64(len(readers))]
+}
+
+// linked returns the processes that are heard and have a link from this one.
+func (c *control) linked() []string {
+	return slices.DeleteFunc(slices.Clone(c.crew.Hears()), func(id string) bool { return !slices.Contains(c.peers, id) })
+}
+
+// sign takes a sign of life of a peer.
+func (c *control) sign(now, at time.Time, id string) {
+	if c.crew.Sign(at, id) {
+		c.publish(now)
+	}
+}
+
+// newsSoon passes statements on after newsDelay, together with others that come until then.
+func (c *control) newsSoon(now time.Time) {
+	if c.newsAt.IsZero() {
+		c.newsAt = now.Add(newsDelay)
+	}
+}
+
+func (c *control) sendNews() {
+	c.newsAt = time.Time{}
+	news := c.crew.News()
+	if len(news) == 0 {
+		return
+	}
+	for _, id := range c.entry.hub.Peers() {
+		var statements []crew.Statement
+		for _, item := range news {
+			if item.From != id && item.Statement.VM != id {
+				statements = append(statements, item.Statement)
 			}
 		}
-		e.hub.SetPeers(vms)
-		c.opened = 0
+		if len(statements) > 0 {
+			c.entry.hub.Tell(id, peer.Frame{Crew: &peer.Crew{Statements: statements}})
+		}
 	}
-	if opened := e.hub.Opened(); opened != c.opened {
-		c.opened = opened
-		e.hub.Broadcast(peer.Frame{Members: &peer.Members{VMs: append(slices.Clone(peers), e.Self.String())}})
+}
+
+// compare asks a peer for its documents if it has had newer ones for chaseAfter, in which they should have come the
+// usual way.
+func (c *control) compare(now time.Time, id string, asOf uint64) {
+	switch {
+	case asOf <= c.facts.AsOf():
+		c.behind = time.Time{}
+	case c.behind.IsZero():
+		c.behind = now
+	case now.Sub(c.behind) >= chaseAfter && !c.chasing:
+		c.chasing = true
+		c.entry.Log.Every("behind", time.Second).Info("a peer has newer documents", "peer", id, "mine", c.facts.AsOf(), "theirs", asOf)
+		c.entry.hub.Sync(id, peer.Sync{After: c.facts.AsOf()}, func(r peer.SyncReply) {
+			c.post(func(c *control, now time.Time) {
+				c.chasing = false
+				c.heard(now, r)
+			})
+		})
 	}
 }
 
+// heard takes the documents of a peer.
+func (c *control) heard(now time.Time, r peer.SyncReply) {
+	if r.Down || r.AsOf == 0 {
+		return
+	}
+	age := time.Duration(r.AgeMS) * time.Millisecond
+	if proof := now.Add(-age); r.AgeMS >= 0 && proof.After(c.proof) {
+		c.proof = proof
+	}
+	c.took(now, c.facts.Merge(now, facts.Batch{Documents: r.Documents, AsOf: r.AsOf, Whole: r.Whole, Lapsed: r.Lapsed}))
+}
+
+// took makes changed documents visible.
+func (c *control) took(now time.Time, changed []plat.Document) {
+	if len(changed) > 0 || c.entry.asOf.Load() != c.facts.AsOf() {
+		c.apply(changed)
+		c.publish(now)
+	}
+	c.answerSyncs(now)
+}
+
 // apply takes changed documents into the book.
 func (c *control) apply(docs []plat.Document) {
 	e := c.entry
@@ -230,8 +342,8 @@
 }
 
 func (c *control) syncReply(now time.Time, after uint64) peer.SyncReply {
-	docs, asOf, whole := c.facts.Since(after)
-	r := peer.SyncReply{Documents: docs, AsOf: asOf, Whole: whole, AgeMS: -1}
+	b := c.facts.Since(after)
+	r := peer.SyncReply{Documents: b.Documents, AsOf: b.AsOf, Whole: b.Whole, Lapsed: b.Lapsed, AgeMS: -1}
 	if !c.proof.IsZero() {
 		r.AgeMS = now.Sub(c.proof).Milliseconds()
 	}
@@ -256,7 +368,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	e.pool.Drop(t.ID)
-	reply, err := e.pool.Do(ctx, pool.Peer{ID: t.ID, Addr: t.Addr}, &pool.Request{Method: "GET", URI: path, Host: t.Addr.String()})
+	reply, err := e.pool.Do(ctx, pool.Peer{ID: t.ID, Addr: t.Addr}, &pool.Request{Method: "GET", Head: pool.Head("GET", path, t.Addr.String(), nil, 0)})
 	healthy := err == nil && reply.Status == 200 && reply.Header.Get(e.Names.Instance) == t.ID
 	e.mu.Lock()
 	e.board.Probed(time.Now(), t.ID, healthy)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,8 +31,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
+	"github.com/fuchsiarelay/fuchsiarelay/internal/crew"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/logs"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
@@ -87,6 +89,9 @@
 	Grace        time.Duration // between the signal to stop and a kill
 }
 
+// pingInterval lets three pings fit into the silence after which a process isn't heard any more.
+const pingInterval = crew.DefaultSilence / 3
+
 // Bounds of the HTTP server. The limits in force for callers come from the configuration.
 const (
 	headerBytes = 64 << 10
@@ -119,6 +124,7 @@
 	ready    atomic.Bool
 	stopping atomic.Bool
 	inFlight atomic.Int64
+	asOf     atomic.Uint64 // platform revision of the documents in force
 
 	mu     sync.Mutex // guards the rest
 	board  *place.Board
@@ -126,7 +132,7 @@
 	rnd    *rand.Rand
 
 	incarnation uint64
-	limits      atomic.Pointer[shares]
+	limits      atomic.Pointer[shares] // its map is guarded by mu
 	stop        chan struct{}
 	setup       sync.Once
 	stopped     sync.Once
@@ -134,21 +140,53 @@
 
 // shares are this process's parts of the limits of the fleet.
 type shares struct {
-	size int // processes
-	view *table.View
+	size    int // processes
+	members []string
+	self    string
+	view    *table.View
+	mine    map[string]bool // targets of a large fleet that this process uses; filled as they are asked for
 }
 
-// connectionsUsed is the part of a target's connections that the fleet uses; the rest is for connections that are
-// being replaced.
-const connectionsUsed = 0.85
+const (
+	// connectionsUsed is the part of a target's connections that the fleet uses; the rest is for connections that are
+	// being replaced.
+	connectionsUsed = 0.85
+	// defConnections is for a service without a bound.
+	defConnections = 8
+)
 
-// connections returns how many sends to a target this process may have open at a time.
+// connections returns how many sends to a target this process may have open at a time. If there are more processes
+// than connections, those that come first in an order of the target's own have one each, and the others 0.
 func (s *shares) connections(t *table.Target) int {
 	limit := s.view.Service(t.Service).Connections
 	if limit <= 0 {
-		return 8
+		return defConnections
+	}
+	used := max(int(float64(limit)*connectionsUsed), 1)
+	if used >= s.size {
+		return used / s.size
+	}
+	mine, known := s.mine[t.ID]
+	if !known {
+		mine = s.first(t.ID, used)
+		s.mine[t.ID] = mine
+	}
+	if mine {
+		return 1
 	}
-	return max(int(float64(limit)*connectionsUsed)/max(s.size, 1), 1)
+	return 0
+}
+
+// first reports whether this process is among the first n members in the order of a target.
+func (s *shares) first(target string, n int) bool {
+	own := xxhash.Sum64String(target + s.self)
+	before := 0
+	for _, m := range s.members {
+		if xxhash.Sum64String(target+m) < own {
+			before++
+		}
+	}
+	return before < n
 }
 
 func (e *Entry) init() {
@@ -160,13 +198,13 @@
 		if e.Stats == nil {
 			e.Stats = stats.New()
 		}
-		e.incarnation = rand.Uint64() | 1
+		e.incarnation = uint64(time.Now().UnixMilli())
 		seed := cmp.Or(e.Seed, rand.Uint64())
 		e.rnd = rand.New(rand.NewPCG(seed, seed))
-		e.board = place.New(place.Config{DataCentre: e.DataCentre})
+		e.board = place.New(place.Config{DataCentre: e.DataCentre, Open: func(id string) bool { return e.pool.Open(id) }})
 		e.budget = spend.New(spend.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
 		e.view.Store(table.New().View())
-		e.limits.Store(&shares{size: 1, view: e.view.Load()})
+		e.limits.Store(&shares{size: 1, view: e.view.Load(), mine: map[string]bool{}})
 		e.callable.Store(&[]netip.AddrPort{})
 		e.board.SetLimits(func(t *table.Target) int { return e.limits.Load().connections(t) })
 	})
@@ -200,7 +238,7 @@
 	defer closePool()
 	e.hub, closeHub = peer.New(peer.Config{
 		Self:    peer.Hello{Version: peer.Version, VM: e.Self.String(), DataCentre: e.DataCentre, Incarnation: e.incarnation},
-		Handler: &peerEvents{entry: e}, Now: time.Now, Log: e.Log.Logger,
+		Handler: &peerEvents{entry: e}, Now: time.Now, Log: e.Log.Logger, PingInterval: pingInterval,
 	})
 	defer closeHub()
 	e.control = newControl(e, time.Now())
@@ -256,8 +294,10 @@
 func (e *Entry) drain(ctx context.Context, callers *http.Server) {
 	start := time.Now()
 	grace := cmp.Or(e.Bounds.Grace, defGrace)
-	e.control.post(func(c *control, now time.Time) { c.publish(now) })
-	e.hub.Broadcast(peer.Frame{Leaving: &peer.Leaving{VM: e.Self.String()}})
+	e.control.post(func(c *control, now time.Time) {
+		c.publish(now)
+		c.sendNews()
+	})
 	e.Log.Info("planned stop began", "in_flight", e.inFlight.Load(), "grace", grace)
 	leave := time.NewTimer(time.Duration(addressShare * float64(grace)))
 	defer leave.Stop()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -4,46 +4,66 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
-	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
 )
 
 // Intervals of following the published documents.
 const (
-	readers = 2 // processes that watch the platform; the others follow them
-	// watchWait bounds how long a silent platform goes unnoticed.
-	watchWait  = time.Second
-	watchSlack = 300 * time.Millisecond // beyond watchWait for an answer
+	// minReaders and perReader give the number of processes that watch the platform; the others follow these. Two can
+	// stand in for each other; more share out large documents over slow links.
+	minReaders = 2
+	perReader  = 20
+	// watchWait bounds how long a silent platform goes unnoticed by one reader; its peers notice sooner that others
+	// have newer documents.
+	watchWait  = 4 * time.Second
+	watchSlack = 500 * time.Millisecond // beyond watchWait for an answer
 	rangeTime  = 2 * time.Second
-	syncWait   = 500 * time.Millisecond
-	syncSlack  = 200 * time.Millisecond
-	// staleAfter is the age of a peer's documents from which a process asks the platform itself. With the waits
-	// above, it leaves a second of the 3 s in which a configuration must be in force.
-	staleAfter = 1500 * time.Millisecond
+	syncWait   = 2 * time.Second
+	syncSlack  = 400 * time.Millisecond
+	// staleAfter is the age of a peer's documents from which a process asks the platform itself: a whole wait of the
+	// reader, and its slack.
+	staleAfter = watchWait + watchSlack
+	// gatherFor collects changes that come one after the other into one call; each call is paid for.
+	gatherFor = 120 * time.Millisecond
+	// startWait is how long a process that isn't a seed waits for the documents of a peer before it reads them itself.
+	startWait  = 1200 * time.Millisecond
+	startPause = 100 * time.Millisecond
 	retryMin   = 100 * time.Millisecond
 	retryMax   = 400 * time.Millisecond
 )
 
+// readersOf returns how many of n processes watch the platform.
+func readersOf(n int) int { return max(minReaders, n/perReader) }
+
 // follower keeps the documents of this process up to date, from the platform or from a peer that is.
 type follower struct {
 	entry   *Entry
 	control *control
-	lost    bool // the platform did not answer the last read
+	reads   atomic.Uint64 // of the platform
+	lost    bool          // the platform did not answer the last read
 	retry   time.Duration
+	began   time.Time
 	distant time.Time // read from the platform until then, since peers are stale
 }
 
 // loop runs until ctx ends.
 func (f *follower) loop(ctx context.Context) {
+	f.began = time.Now()
+	sleep(ctx, startPause)
 	for ctx.Err() == nil {
-		after, complete, rank, reader := f.state()
+		after, complete, reader := f.state()
 		var err error
 		switch {
+		case !complete && !f.seed() && time.Since(f.began) < startWait:
+			f.startFromPeer(ctx)
+			continue
 		case !complete:
 			err = f.start(ctx)
-		case rank < readers || reader == "" || time.Now().Before(f.distant):
+		case reader == "" || time.Now().Before(f.distant):
 			err = f.watch(ctx, after)
 		default:
 			f.sync(ctx, reader, after, syncWait)
@@ -56,16 +76,12 @@
 	}
 }
 
-// state returns the revision that is held, whether that is everything, the rank of this process, and a peer with
-// fresh documents.
-func (f *follower) state() (after uint64, complete bool, rank int, reader string) {
-	f.control.ask(func(c *control, now time.Time) {
-		after, complete, rank = c.facts.AsOf(), c.facts.Complete(), c.crew.Rank(now)
-		if running := c.crew.Running(now); rank >= readers && len(running) >= readers {
-			reader = running[rand.IntN(readers)]
-		}
+// state returns the revision that is held, whether that is everything, and the process to follow; empty for none.
+func (f *follower) state() (after uint64, complete bool, reader string) {
+	f.control.ask(func(c *control, _ time.Time) {
+		after, complete, reader = c.facts.AsOf(), c.facts.Complete(), c.reader()
 	})
-	return after, complete, rank, reader
+	return after, complete, reader
 }
 
 // start reads everything.
@@ -73,23 +89,46 @@
 	ctx, cancel := context.WithTimeout(ctx, rangeTime)
 	defer cancel()
 	began := time.Now()
+	f.reads.Add(1)
 	docs, asOf, err := f.entry.Source.Range(ctx)
 	if err != nil {
 		return err
 	}
 	f.control.post(func(c *control, now time.Time) {
 		c.proof = began
-		c.apply(c.facts.Range(now, docs, asOf))
-		c.publish(now)
-		c.answerSyncs(now)
+		c.took(now, c.facts.Range(now, docs, asOf))
 	})
 	return nil
 }
 
+// seed reports whether this process is one of the seeds, which the others ask first.
+func (f *follower) seed() bool { return slices.Contains(f.entry.Seeds, f.entry.Self) }
+
+// startFromPeer takes everything from a peer, which spares the platform one page after the other.
+func (f *follower) startFromPeer(ctx context.Context) {
+	var peers []string
+	f.control.ask(func(c *control, _ time.Time) { peers = c.linked() })
+	if len(peers) > 0 {
+		f.sync(ctx, peers[rand.IntN(len(peers))], 0, 0)
+	}
+	sleep(ctx, startPause)
+}
+
+// sleep waits until d is over or ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // watch waits for changes at the platform.
 func (f *follower) watch(ctx context.Context, after uint64) error {
 	bounded, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
+	f.reads.Add(1)
 	docs, asOf, err := f.entry.Source.Watch(bounded, after, watchWait)
 	if errors.Is(err, ErrHistory) {
 		f.entry.Log.Warn("platform history dropped; reading everything", "after", after)
@@ -98,21 +137,14 @@
 	if err != nil {
 		return err
 	}
-	f.took(docs, asOf, time.Now())
-	return nil
-}
-
-func (f *follower) took(docs []plat.Document, asOf uint64, proof time.Time) {
 	f.control.post(func(c *control, now time.Time) {
-		if proof.After(c.proof) {
-			c.proof = proof
-		}
-		if changed := c.facts.Events(now, docs, asOf); len(changed) > 0 {
-			c.apply(changed)
-			c.publish(now)
-		}
-		c.answerSyncs(now)
+		c.proof = now
+		c.took(now, c.facts.Events(now, docs, asOf))
 	})
+	if len(docs) > 0 {
+		sleep(ctx, gatherFor)
+	}
+	return nil
 }
 
 // note logs a lost or regained platform.
@@ -139,16 +171,11 @@
 	f.retry = min(max(2*f.retry, retryMin), retryMax)
 	var after uint64
 	var peers []string
-	f.control.ask(func(c *control, now time.Time) { after, peers = c.facts.AsOf(), c.crew.Running(now) })
+	f.control.ask(func(c *control, _ time.Time) { after, peers = c.facts.AsOf(), c.linked() })
 	if len(peers) > 0 {
 		f.sync(ctx, peers[rand.IntN(len(peers))], after, 0)
 	}
-	pause := time.NewTimer(f.retry/2 + rand.N(f.retry))
-	defer pause.Stop()
-	select {
-	case <-pause.C:
-	case <-ctx.Done():
-	}
+	sleep(ctx, f.retry/2+rand.N(f.retry))
 }
 
 // sync takes documents from a peer.
@@ -173,22 +200,5 @@
 		f.distant = time.Now().Add(staleAfter)
 		f.entry.Log.Every("stale peer", time.Second).Info("peer has no fresh documents; asking the platform", "peer", from, "age", age, "link_down", r.Down)
 	}
-	if r.Down || r.AsOf == 0 {
-		return
-	}
-	if !r.Whole {
-		f.took(r.Documents, r.AsOf, time.Now().Add(-age))
-		return
-	}
-	f.control.post(func(c *control, now time.Time) {
-		if r.AsOf < c.facts.AsOf() {
-			return
-		}
-		if proof := now.Add(-age); r.AgeMS >= 0 && proof.After(c.proof) {
-			c.proof = proof
-		}
-		c.apply(c.facts.Range(now, r.Documents, r.AsOf))
-		c.publish(now)
-		c.answerSyncs(now)
-	})
+	f.control.post(func(c *control, now time.Time) { c.heard(now, r) })
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/fuchsiarelay/fuchsiarelay/internal/crew"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
 )
 
@@ -13,42 +12,41 @@
 	entry *Entry
 }
 
-// Ping implements peer.Handler. A process that pings is known from then on.
+// Opened implements peer.Handler: each side says what it knows, so that the other can send what is missing.
+func (p *peerEvents) Opened(id string) {
+	p.entry.control.post(func(c *control, now time.Time) {
+		c.sign(now, now, id)
+		p.entry.hub.Tell(id, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+	})
+}
+
+// Ping implements peer.Handler. A ping is a sign of life as well.
 func (p *peerEvents) Ping(from string, m peer.Ping) peer.Pong {
 	e := p.entry
-	e.control.post(func(c *control, now time.Time) {
-		if c.crew.Heard(now, []string{from}) {
-			e.Log.Info("entry process found", "vm", from, "by", "ping")
-			c.link(now)
-		}
-	})
-	return peer.Pong{Seq: m.Seq, EvidenceAgeMS: -1, Incarnation: e.incarnation, Ready: e.ready.Load(), Leaving: e.stopping.Load()}
+	e.control.post(func(c *control, now time.Time) { c.sign(now, now, from) })
+	return peer.Pong{Seq: m.Seq, EvidenceAgeMS: -1, Incarnation: e.incarnation, Leaving: e.stopping.Load(), AsOf: e.asOf.Load()}
 }
 
 // Pong implements peer.Handler.
 func (p *peerEvents) Pong(from string, sent time.Time, m peer.Pong) {
 	p.entry.control.post(func(c *control, now time.Time) {
 		// The sign of life is as old as the ping: a pong may have waited in a buffer.
-		if c.crew.Pong(sent, from, crew.Sign{Incarnation: m.Incarnation, Ready: m.Ready, Leaving: m.Leaving}) {
-			c.publishAddresses(now)
-		}
-	})
-}
-
-// Leaving implements peer.Handler.
-func (p *peerEvents) Leaving(from string, _ peer.Leaving) {
-	p.entry.control.post(func(c *control, now time.Time) {
-		c.crew.Leaving(from)
-		c.publishAddresses(now)
+		c.sign(now, sent, from)
+		c.compare(now, from, m.AsOf)
 	})
 }
 
-// Members implements peer.Handler.
-func (p *peerEvents) Members(from string, m peer.Members) {
+// Crew implements peer.Handler.
+func (p *peerEvents) Crew(from string, m peer.Crew) {
 	p.entry.control.post(func(c *control, now time.Time) {
-		if c.crew.Heard(now, m.VMs) {
-			p.entry.Log.Info("entry processes found", "by", from, "known", len(c.crew.Peers(now)))
-			c.link(now)
+		if len(m.Summary) > 0 {
+			if newer := c.crew.Newer(m.Summary); len(newer) > 0 {
+				p.entry.hub.Tell(from, peer.Frame{Crew: &peer.Crew{Statements: newer}})
+			}
+		}
+		if len(m.Statements) > 0 {
+			c.crew.Take(now, from, m.Statements)
+			c.newsSoon(now)
 		}
 	})
 }
@@ -56,7 +54,7 @@
 // Sync implements peer.Handler.
 func (p *peerEvents) Sync(_ string, s peer.Sync, reply func(peer.SyncReply)) {
 	p.entry.control.post(func(c *control, now time.Time) {
-		wait := min(time.Duration(s.WaitMS)*time.Millisecond, watchWait)
+		wait := min(time.Duration(s.WaitMS)*time.Millisecond, syncWait)
 		c.waiting = append(c.waiting, waitingSync{after: s.After, until: now.Add(wait), reply: reply})
 		c.answerSyncs(now)
 	})
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -28,7 +28,7 @@
 	replies map[int]*pool.Reply
 	digests map[string]bool
 	cancel  context.CancelFunc
-	base    context.Context // of all sends; outlives the call by lingerFor
+	base    context.Context // of all sends; outlives the call by lingerFor, up to its deadline
 	sends   int
 }
 
@@ -43,7 +43,7 @@
 	r := &runner{entry: e, call: c, replies: map[int]*pool.Reply{}, digests: map[string]bool{}}
 	r.plan = quest.New(quest.Config{}, c.route, services, (*picker)(r), c.began, c.patience)
 	r.results = make(chan sent, len(services)*(c.route.Attempts+1)+8)
-	r.base, r.cancel = context.WithCancel(context.Background())
+	r.base, r.cancel = context.WithDeadline(context.Background(), r.plan.Deadline())
 	return r
 }
 
@@ -83,6 +83,7 @@
 	actions := step(now)
 	for _, a := range actions {
 		if a.Send != nil {
+			a.Send.Foreign = r.entry.board.Standing(a.Send.Target) == place.Foreign
 			r.entry.board.Sent(now, a.Send.Target.ID)
 		}
 	}
@@ -123,14 +124,12 @@
 func (r *runner) send(s quest.Send) {
 	e := r.entry
 	began := time.Now()
-	ctx, cancel := context.WithDeadline(r.base, r.plan.Deadline())
-	defer cancel()
-	reply, err := e.pool.Do(ctx, pool.Peer{ID: s.Target.ID, Addr: s.Target.Addr}, r.request(s))
+	reply, err := e.pool.Do(r.base, pool.Peer{ID: s.Target.ID, Addr: s.Target.Addr}, r.request(s))
 	took := time.Since(began)
 	outcome := e.outcome(r.call, reply, err)
 	e.mu.Lock()
 	now := time.Now()
-	if r.base.Err() != nil && outcome == place.Silent {
+	if errors.Is(r.base.Err(), context.Canceled) && outcome == place.Silent {
 		e.board.Abandoned(now, s.Target.ID, r.call.route.Name, took)
 	} else {
 		e.board.Done(now, s.Target.ID, r.call.route.Name, place.Reply{Outcome: outcome, Latency: took, Load: parseLoad(reply.Header.Get(e.Names.Load))})
@@ -156,19 +155,11 @@
 
 // request returns the message for one send.
 func (r *runner) request(s quest.Send) *pool.Request {
-	e := r.entry
 	req := r.call.request
-	req.Header = make(http.Header, len(r.call.request.Header)+2)
-	for name, values := range r.call.request.Header {
-		req.Header[name] = values
-	}
-	left := time.Until(r.plan.Deadline())
-	req.Header[e.Names.Patience] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
-	req.Header[e.Names.Expect] = []string{s.Target.ID}
-	id := r.call.id
-	req.Accept = func(_ int, h http.Header) bool {
-		echo := h.Get(e.Names.RequestID)
-		return echo == "" || echo == id
+	req.Once = s.Foreign
+	left := max(time.Until(r.plan.Deadline()).Milliseconds(), 1)
+	req.Extra = []pool.Field{
+		{Name: r.entry.Names.Patience, Value: strconv.FormatInt(left, 10)}, {Name: r.entry.Names.Expect, Value: s.Target.ID},
 	}
 	return &req
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -24,6 +24,8 @@
 	// defPatience is for a request that doesn't say how long its caller waits.
 	defPatience = 10 * time.Second
 	startAfter  = 300 * time.Millisecond // Retry-After before a configuration is known
+	// unsafeFresh is below the shortest time after which targets forget idle connections.
+	unsafeFresh = 300 * time.Millisecond
 	// logEvery bounds the lines on requests that were not served whole, for each reason.
 	logEvery = 50 * time.Millisecond
 )
@@ -101,7 +103,15 @@
 	case err != nil:
 		return fail(codes.BadRequest, "the body ended early")
 	}
-	c.request = pool.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: e.forwarded(r.Header), Body: body}
+	c.request = pool.Request{Method: r.Method, Head: pool.Head(r.Method, r.RequestURI, r.Host, e.forwarded(r.Header), len(body)), Body: body}
+	if route.Kind != table.Safe {
+		c.request.Fresh = unsafeFresh
+	}
+	id := c.id
+	c.request.Accept = func(_ int, h http.Header) bool {
+		echo := h.Get(e.Names.RequestID)
+		return echo == "" || echo == id
+	}
 	return c, wire.Status{}, true
 }
 
@@ -111,14 +121,16 @@
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true, "Host": true,
 }
 
-// forwarded returns a copy of the headers without those that concern one connection.
+// forwarded returns a copy of the headers without those that concern one connection or are set for each send.
 func (e *Entry) forwarded(in http.Header) http.Header {
-	out := make(http.Header, len(in)+2)
+	out := make(http.Header, len(in))
 	for name, values := range in {
 		if !perConnection[name] {
 			out[name] = values
 		}
 	}
+	delete(out, e.Names.Patience)
+	delete(out, e.Names.Expect)
 	for _, list := range in["Connection"] {
 		for _, name := range strings.Split(list, ",") {
 			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -8,13 +8,15 @@
 //	changed := s.Events(now, docs, asOf)        // what has changed since s.AsOf()
 //	s.Failed(now)                               // a read failed: the platform may be away
 //	changed := s.Tick(now)                      // lapsed documents whose grace is over
-//	docs, asOf := s.Since(after)                // for a peer that asks
+//	batch := s.Since(after)                     // for a peer that asks
+//	changed := s.Merge(now, batch)              // from a peer
 //
 // # Lapses
 //
 // While the platform is away, targets can't renew their documents, so that these lapse although the targets live.
 // A document that disappears within Config.Doubt of a failed read stays for Config.Grace after the platform is
-// back; if it has not been written again by then, it is gone.
+// back; if it has not been written again by then, it is gone. A batch for a peer names such documents, since the peer
+// may not have noticed the absence.
 //
 // # Order
 //
@@ -48,6 +50,14 @@
 	DefaultTombstones = time.Minute
 )
 
+// Batch is what one process tells another.
+type Batch struct {
+	Documents []plat.Document
+	AsOf      uint64
+	Whole     bool     // everything that exists, not only changes
+	Lapsed    []string // keys that have disappeared in doubt
+}
+
 type entry struct {
 	doc     plat.Document
 	lapsed  time.Time // when it disappeared in doubt; zero if it stands
@@ -64,6 +74,7 @@
 	back     time.Time // first successful read after a failed one
 	waiting  int       // entries with lapsed set
 	complete bool
+	dubious  map[string]bool // keys that a peer says have lapsed, during Merge
 }
 
 // New returns an empty set.
@@ -142,7 +153,7 @@
 		s.waiting--
 		e.lapsed = time.Time{}
 	}
-	if d.Removed && e.doc.Key != "" && s.doubtful(now) {
+	if d.Removed && e.doc.Key != "" && (s.doubtful(now) || s.dubious[d.Key]) {
 		// The value stays in force until Tick removes it.
 		e.lapsed = now
 		s.waiting++
@@ -186,20 +197,48 @@
 // Lapsed returns the number of documents that have disappeared in doubt.
 func (s *Set) Lapsed() int { return s.waiting }
 
-// Since returns what has changed after a revision, or everything if that isn't known any more; whole says which.
-func (s *Set) Since(after uint64) (docs []plat.Document, asOf uint64, whole bool) {
-	whole = after < s.floor
-	for _, e := range s.entries {
+// Since returns what has changed after a revision, or everything if that isn't known any more.
+func (s *Set) Since(after uint64) Batch {
+	b := Batch{AsOf: s.asOf, Whole: after < s.floor}
+	for key, e := range s.entries {
 		lapsed := !e.lapsed.IsZero()
-		if whole && (e.doc.Removed || lapsed) || !whole && e.doc.Revision <= after {
+		if b.Whole && e.doc.Removed || !b.Whole && e.doc.Revision <= after {
 			continue
 		}
 		d := e.doc
 		if lapsed {
-			d = plat.Document{Key: d.Key, Revision: d.Revision, Removed: true}
+			b.Lapsed = append(b.Lapsed, key)
+			if !b.Whole {
+				d = plat.Document{Key: key, Revision: d.Revision, Removed: true}
+			}
+		}
+		b.Documents = append(b.Documents, d)
+	}
+	slices.SortFunc(b.Documents, func(x, y plat.Document) int { return cmp.Compare(x.Revision, y.Revision) })
+	slices.Sort(b.Lapsed)
+	return b
+}
+
+// Merge takes what a peer holds. A whole batch that is older than this set is ignored.
+func (s *Set) Merge(now time.Time, b Batch) (changed []plat.Document) {
+	if b.Whole && b.AsOf < s.asOf {
+		return nil
+	}
+	s.dubious = make(map[string]bool, len(b.Lapsed))
+	for _, key := range b.Lapsed {
+		s.dubious[key] = true
+	}
+	if b.Whole {
+		changed = s.Range(now, b.Documents, b.AsOf)
+		for key := range s.dubious {
+			if e := s.entries[key]; e != nil && !e.doc.Removed && e.lapsed.IsZero() {
+				e.lapsed = now
+				s.waiting++
+			}
 		}
-		docs = append(docs, d)
+	} else {
+		changed = s.Events(now, b.Documents, b.AsOf)
 	}
-	slices.SortFunc(docs, func(a, b plat.Document) int { return cmp.Compare(a.Revision, b.Revision) })
-	return docs, s.asOf, whole
+	s.dubious = nil
+	return changed
 }
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -32,10 +32,10 @@
 	changed := s.Range(start, []plat.Document{doc("a", 1)}, 5)
 	assert.DeepEqual(t, keys(changed), []string{"b"})
 	assert.Assert(t, changed[0].Removed)
-	docs, asOf, whole := s.Since(0)
-	assert.Assert(t, whole)
-	assert.Equal(t, asOf, uint64(7))
-	assert.DeepEqual(t, keys(docs), []string{"a", "c"})
+	b := s.Since(0)
+	assert.Assert(t, b.Whole)
+	assert.Equal(t, b.AsOf, uint64(7))
+	assert.DeepEqual(t, keys(b.Documents), []string{"a", "c"})
 }
 
 // Peers and the platform deliver in any order; an older change must not undo a newer one.
@@ -66,8 +66,7 @@
 	assert.Equal(t, len(s.Tick(back.Add(DefaultGrace-time.Millisecond))), 0)
 	assert.DeepEqual(t, keys(s.Tick(back.Add(DefaultGrace))), []string{"dead"})
 	assert.Equal(t, s.Lapsed(), 0)
-	docs, _, _ := s.Since(0)
-	assert.DeepEqual(t, keys(docs), []string{"lives"})
+	assert.DeepEqual(t, keys(s.Since(0).Documents), []string{"lives"})
 }
 
 // A platform that stays away says nothing about the lapsed.
@@ -87,11 +86,44 @@
 	s := New(Config{})
 	s.Range(start, []plat.Document{doc("a", 1), doc("b", 2)}, 2)
 	s.Events(start, []plat.Document{gone("a", 3)}, 3)
-	docs, _, whole := s.Since(2)
-	assert.Assert(t, !whole)
-	assert.DeepEqual(t, docs, []plat.Document{gone("a", 3)})
+	b := s.Since(2)
+	assert.Assert(t, !b.Whole)
+	assert.DeepEqual(t, b.Documents, []plat.Document{gone("a", 3)})
 	s.Tick(start.Add(2 * time.Minute))
-	docs, _, whole = s.Since(2)
-	assert.Assert(t, whole)
-	assert.DeepEqual(t, keys(docs), []string{"b"})
+	b = s.Since(2)
+	assert.Assert(t, b.Whole)
+	assert.DeepEqual(t, keys(b.Documents), []string{"b"})
+}
+
+// A process that follows a reader has not noticed that the platform was away; lapses must not take targets from it.
+func TestLapseReachesPeersAsLapse(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		reader, peer := New(Config{}), New(Config{})
+		for _, s := range []*Set{reader, peer} {
+			s.Range(start, []plat.Document{doc("lives", 1), doc("dead", 2)}, 2)
+		}
+		reader.Failed(start)
+		reader.Events(start.Add(time.Second), []plat.Document{gone("lives", 3), gone("dead", 4)}, 4)
+		after := uint64(2)
+		if whole {
+			after = 0
+		}
+		b := reader.Since(after)
+		assert.Equal(t, b.Whole, whole)
+		for _, d := range peer.Merge(start.Add(time.Second), b) {
+			assert.Assert(t, !d.Removed, d.Key)
+		}
+		assert.Equal(t, peer.Lapsed(), 2)
+		reader.Events(start.Add(2*time.Second), []plat.Document{doc("lives", 5)}, 5)
+		peer.Merge(start.Add(2*time.Second), reader.Since(4))
+		assert.Equal(t, peer.Lapsed(), 1)
+		assert.DeepEqual(t, keys(peer.Tick(start.Add(4*time.Second))), []string{"dead"})
+	}
+}
+
+func TestOldWholeBatchIsIgnored(t *testing.T) {
+	s := New(Config{})
+	s.Range(start, []plat.Document{doc("a", 5)}, 5)
+	assert.Equal(t, len(s.Merge(start, Batch{Documents: []plat.Document{doc("b", 1)}, AsOf: 4, Whole: true})), 0)
+	assert.DeepEqual(t, keys(s.Since(0).Documents), []string{"a"})
 }
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -44,8 +44,10 @@
 	Work(ctx context.Context, from string, w Work, reply func(WorkReply))
 	// Order runs a forwarded order and calls reply once.
 	Order(from string, o Order, reply func(OrderReply))
-	// Members takes the names of other processes.
-	Members(from string, m Members)
+	// Crew takes statements, or a summary of those that a peer knows.
+	Crew(from string, c Crew)
+	// Opened says that a link to or from a peer is open.
+	Opened(peer string)
 	// Sync calls reply once, when there is something newer or the time is over.
 	Sync(from string, s Sync, reply func(SyncReply))
 	// Digest returns the revisions in force, for pings.
@@ -77,9 +79,12 @@
 	next   atomic.Uint64
 	opened atomic.Uint64
 
+	written counters
+
 	mu       sync.Mutex
 	links    map[string]*link // outgoing, by VM id
 	accepted map[*websocket.Conn]bool
+	inbound  map[string]*inbound // the newest accepted link of each peer
 }
 
 // New returns a hub without links, and a function that closes it.
@@ -96,7 +101,7 @@
 	if cfg.DialContext != nil {
 		transport.DialContext = cfg.DialContext
 	}
-	h := &Hub{cfg: cfg, client: &http.Client{Transport: transport}, links: map[string]*link{}, accepted: map[*websocket.Conn]bool{}}
+	h := &Hub{cfg: cfg, client: &http.Client{Transport: transport}, links: map[string]*link{}, accepted: map[*websocket.Conn]bool{}, inbound: map[string]*inbound{}}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	return h, h.close
 }
@@ -169,6 +174,33 @@
 	return all
 }
 
+// Tell queues a message for a peer on its own link or on that of this process, whichever is open.
+func (h *Hub) Tell(to string, f Frame) bool {
+	if h.Send(to, f) {
+		return true
+	}
+	h.mu.Lock()
+	in := h.inbound[to]
+	h.mu.Unlock()
+	return in != nil && in.reply(f)
+}
+
+// Peers returns the peers with a link, whoever dialled it, in no order.
+func (h *Hub) Peers() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	peers := make([]string, 0, len(h.links)+len(h.inbound))
+	for id := range h.links {
+		peers = append(peers, id)
+	}
+	for id := range h.inbound {
+		if h.links[id] == nil {
+			peers = append(peers, id)
+		}
+	}
+	return peers
+}
+
 // Opened returns how often an outgoing link was opened. What a peer must know is sent again after each.
 func (h *Hub) Opened() uint64 { return h.opened.Load() }
 
@@ -254,5 +286,16 @@
 	in.run()
 	h.mu.Lock()
 	delete(h.accepted, c)
+	if h.inbound[in.from] == in {
+		delete(h.inbound, in.from)
+	}
+	h.mu.Unlock()
+}
+
+// greeted makes an accepted link known by the name of its peer.
+func (h *Hub) greeted(in *inbound) {
+	h.mu.Lock()
+	h.inbound[in.from] = in
 	h.mu.Unlock()
+	h.cfg.Handler.Opened(in.from)
 }
--- a/internal/peer/ignore.go
+++ b/internal/peer/ignore.go
@@ -50,8 +50,11 @@
 // Order implements Handler; the order is refused.
 func (Ignore) Order(_ string, _ Order, reply func(OrderReply)) { reply(OrderReply{}) }
 
-// Members implements Handler.
-func (Ignore) Members(string, Members) {}
+// Crew implements Handler.
+func (Ignore) Crew(string, Crew) {}
+
+// Opened implements Handler.
+func (Ignore) Opened(string) {}
 
 // Sync implements Handler.
 func (Ignore) Sync(_ string, _ Sync, reply func(SyncReply)) { reply(SyncReply{AgeMS: -1}) }
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -41,6 +41,7 @@
 	}
 	var wg sync.WaitGroup
 	wg.Go(in.writeLoop)
+	in.hub.greeted(in)
 	err := in.readLoop()
 	if in.ctx.Err() == nil {
 		in.hub.cfg.Log.Info("peer link closed", "peer", in.from, "reason", err)
@@ -61,7 +62,7 @@
 		return fmt.Errorf("expected hello of version %d", Version)
 	}
 	in.from = f.Hello.VM
-	return write(ctx, in.conn, Frame{Hello: &in.hub.cfg.Self})
+	return in.hub.write(ctx, in.conn, Frame{Hello: &in.hub.cfg.Self})
 }
 
 func (in *inbound) writeLoop() {
@@ -72,7 +73,7 @@
 			return
 		case f := <-in.out:
 			ctx, cancel := context.WithTimeout(in.ctx, in.hub.cfg.Silence)
-			err := write(ctx, in.conn, *f)
+			err := in.hub.write(ctx, in.conn, *f)
 			cancel()
 			if err != nil {
 				_ = in.conn.CloseNow()
@@ -83,13 +84,15 @@
 }
 
 // reply queues a reply. A peer that does not read loses its link, so that it can't hold up others.
-func (in *inbound) reply(f Frame) {
+func (in *inbound) reply(f Frame) bool {
 	select {
 	case in.out <- &f:
+		return true
 	case <-in.ctx.Done():
 	default:
 		in.cancel()
 	}
+	return false
 }
 
 func (in *inbound) readLoop() error {
@@ -136,8 +139,8 @@
 		h.Quarantine(in.from, *f.Quarantine)
 	case f.Leaving != nil:
 		h.Leaving(in.from, *f.Leaving)
-	case f.Members != nil:
-		h.Members(in.from, *f.Members)
+	case f.Crew != nil:
+		h.Crew(in.from, *f.Crew)
 	case f.Sync != nil:
 		id := f.Sync.ID
 		h.Sync(in.from, *f.Sync, func(r SyncReply) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -107,6 +107,7 @@
 	l.queue = queue
 	l.mu.Unlock()
 	l.hub.opened.Add(1)
+	l.hub.cfg.Handler.Opened(l.id)
 	var wg sync.WaitGroup
 	wg.Go(func() { s.writeLoop(ctx, queue) })
 	err = s.readLoop(ctx)
@@ -129,7 +130,7 @@
 		return nil, fmt.Errorf("dial peer %s: %w", l.id, err)
 	}
 	c.SetReadLimit(l.hub.cfg.MaxMessage)
-	if err := write(ctx, c, Frame{Hello: &l.hub.cfg.Self}); err != nil {
+	if err := l.hub.write(ctx, c, Frame{Hello: &l.hub.cfg.Self}); err != nil {
 		_ = c.CloseNow()
 		return nil, fmt.Errorf("send hello: %w", err)
 	}
@@ -211,7 +212,7 @@
 func (s *session) write(ctx context.Context, f Frame) error {
 	ctx, cancel := context.WithTimeout(ctx, s.link.hub.cfg.Silence)
 	defer cancel()
-	return write(ctx, s.conn, f)
+	return s.link.hub.write(ctx, s.conn, f)
 }
 
 func (s *session) ping(ctx context.Context) error {
@@ -249,6 +250,8 @@
 			if p := s.link.take(f.OrderReply.ID); p != nil && p.order != nil {
 				p.order(*f.OrderReply)
 			}
+		case f.Crew != nil:
+			s.link.hub.cfg.Handler.Crew(s.link.id, *f.Crew)
 		case f.SyncReply != nil:
 			if p := s.link.take(f.SyncReply.ID); p != nil && p.sync != nil {
 				p.sync(*f.SyncReply)
@@ -275,11 +278,14 @@
 	}
 }
 
-func write(ctx context.Context, c *websocket.Conn, f Frame) error {
+func (h *Hub) write(ctx context.Context, c *websocket.Conn, f Frame) error {
 	raw, err := Encode(f)
 	if err != nil {
 		return fmt.Errorf("encode frame: %w", err)
 	}
+	kind := kindOf(f)
+	h.written.frames[kind].Add(1)
+	h.written.bytes[kind].Add(uint64(len(raw)))
 	return c.Write(ctx, websocket.MessageBinary, raw)
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -15,6 +15,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/fuchsiarelay/fuchsiarelay/internal/crew"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/policy"
 	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
 	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
@@ -52,12 +53,13 @@
 	EvidenceAgeMS int64         `cbor:"evidence_age_ms"`
 	Leaving       bool          `cbor:"leaving"`
 	Incarnation   uint64        `cbor:"incarnation"`
-	Ready         bool          `cbor:"ready,omitempty"` // takes requests of callers
+	AsOf          uint64        `cbor:"as_of,omitempty"` // platform revision of the peer's documents
 }
 
-// Members names processes that may exist.
-type Members struct {
-	VMs []string `cbor:"vms"`
+// Crew passes statements on. A summary asks for those that the sender lacks.
+type Crew struct {
+	Statements []crew.Statement `cbor:"statements,omitempty"`
+	Summary    []crew.Stamp     `cbor:"summary,omitempty"`
 }
 
 // Sync asks for the documents that have changed after a platform revision. The reply waits up to WaitMS for one.
@@ -72,7 +74,8 @@
 	ID        uint64          `cbor:"id"`
 	Documents []plat.Document `cbor:"documents"`
 	AsOf      uint64          `cbor:"as_of"`
-	Whole     bool            `cbor:"whole"` // everything that exists, not only changes
+	Whole     bool            `cbor:"whole"`            // everything that exists, not only changes
+	Lapsed    []string        `cbor:"lapsed,omitempty"` // keys that disappeared while the platform was away
 	AgeMS     int64           `cbor:"age_ms"`
 	Down      bool            `cbor:"down,omitempty"` // the link broke; nothing else is set
 }
@@ -184,7 +187,7 @@
 	Cancel     *Cancel        `cbor:"cancel,omitempty"`
 	Order      *Order         `cbor:"order,omitempty"`
 	OrderReply *OrderReply    `cbor:"order_reply,omitempty"`
-	Members    *Members       `cbor:"members,omitempty"`
+	Crew       *Crew          `cbor:"crew,omitempty"`
 	Sync       *Sync          `cbor:"sync,omitempty"`
 	SyncReply  *SyncReply     `cbor:"sync_reply,omitempty"`
 }
--- /dev/null
+++ b/internal/peer/traffic.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"sync/atomic"
+)
+
+// kinds of frames, for counting.
+const (
+	kindOther = iota
+	kindPing
+	kindCrew
+	kindSync
+	kindWork
+	kinds
+)
+
+var kindNames = [kinds]string{"other", "ping", "crew", "sync", "work"}
+
+func kindOf(f Frame) int {
+	switch {
+	case f.Ping != nil || f.Pong != nil:
+		return kindPing
+	case f.Crew != nil:
+		return kindCrew
+	case f.Sync != nil || f.SyncReply != nil:
+		return kindSync
+	case f.Work != nil || f.WorkReply != nil || f.Order != nil || f.OrderReply != nil:
+		return kindWork
+	}
+	return kindOther
+}
+
+// counters count what a hub has written.
+type counters struct {
+	frames, bytes [kinds]atomic.Uint64
+}
+
+// Traffic is what a hub has written, by kind of frame: crew, ping, sync, work or other.
+type Traffic map[string]struct{ Frames, Bytes uint64 }
+
+// Traffic returns the totals since the start.
+func (h *Hub) Traffic() Traffic {
+	t := Traffic{}
+	for k, name := range kindNames {
+		t[name] = struct{ Frames, Bytes uint64 }{h.written.frames[k].Load(), h.written.bytes[k].Load()}
+	}
+	return t
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -35,10 +35,12 @@
 
 // Config holds the weights. Zero fields take the defaults.
 type Config struct {
-	DataCentre string        // of this process
-	Crossing   time.Duration // what a target in another data centre costs more
-	Spread     float64       // of the random variation, 0..1
-	StallAfter float64       // times the usual time of the route without a reply
+	DataCentre string               // of this process
+	Crossing   time.Duration        // what a target in another data centre costs more
+	Dial       time.Duration        // what a new connection costs
+	Open       func(id string) bool // whether a connection to a target is idle; nil for no preference
+	Spread     float64              // of the random variation, 0..1
+	StallAfter float64              // times the usual time of the route without a reply
 	StallFloor time.Duration
 	ProbeEvery time.Duration
 	MaxDown    time.Duration // the longest pause after failures in a row
@@ -48,6 +50,8 @@
 const (
 	// DefaultCrossing is a round trip between data centres of one region.
 	DefaultCrossing = 2800 * time.Microsecond
+	// DefaultDial is the time that targets spend on a new connection, and a round trip.
+	DefaultDial = 6 * time.Millisecond
 	// DefaultSpread keeps two equal targets equally likely while one at half the load is still preferred.
 	DefaultSpread = 0.3
 	// DefaultStallAfter leaves out one reply in a hundred of a target with the usual variation.
@@ -140,6 +144,7 @@
 // New returns a board without observations.
 func New(cfg Config) *Board {
 	cfg.Crossing = cmp.Or(cfg.Crossing, DefaultCrossing)
+	cfg.Dial = cmp.Or(cfg.Dial, DefaultDial)
 	cfg.Spread = cmp.Or(cfg.Spread, DefaultSpread)
 	cfg.StallAfter = cmp.Or(cfg.StallAfter, DefaultStallAfter)
 	cfg.StallFloor = cmp.Or(cfg.StallFloor, DefaultStallFloor)
@@ -148,7 +153,9 @@
 	return &Board{cfg: cfg, targets: map[string]*target{}, routes: map[string]*usual{}}
 }
 
-// SetLimits sets the function that bounds the sends of this process to one target at a time.
+// SetLimits sets the function that bounds the sends of this process to one target at a time. Where a fleet is larger
+// than the connections of a target, it returns 0 for a target that others use; such a target is picked only if there is
+// no other.
 func (b *Board) SetLimits(f func(t *table.Target) int) { b.limits = f }
 
 func (b *Board) get(id string) *target {
@@ -182,20 +189,30 @@
 
 // Standings.
 const (
-	Usable Standing = iota
-	Busy            // as many sends as this process may have there
-	Down            // out until its health page answers
+	Usable  Standing = iota
+	Busy             // as many sends as this process may have there
+	Down             // out until its health page answers
+	Foreign          // left to other processes, but usable
 )
 
 // Standing returns whether a target can be picked now.
 func (b *Board) Standing(t *table.Target) Standing {
 	s := b.targets[t.ID]
+	open := 0
+	if s != nil {
+		open = len(s.open)
+	}
 	switch {
-	case s == nil:
-		return Usable
-	case s.down:
+	case s != nil && s.down:
 		return Down
-	case b.limits != nil && len(s.open) >= b.limits(t):
+	case b.limits == nil:
+		return Usable
+	}
+	limit := b.limits(t)
+	switch {
+	case limit == 0 && open == 0:
+		return Foreign
+	case open >= limit:
 		return Busy
 	}
 	return Usable
@@ -203,11 +220,20 @@
 
 // Pick returns the target with the shortest expected time among those that may be sent to, without the tried ones.
 func (b *Board) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, bool) {
+	for _, standing := range []Standing{Usable, Foreign} {
+		if t, ok := b.pick(now, rnd, route, targets, tried, standing); ok {
+			return t, true
+		}
+	}
+	return nil, false
+}
+
+func (b *Board) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, standing Standing) (*table.Target, bool) {
 	var best *table.Target
 	var bestTime float64
 	u := b.route(route)
 	for _, t := range targets {
-		if contains(tried, t.ID) || b.Standing(t) != Usable {
+		if contains(tried, t.ID) || b.Standing(t) != standing {
 			continue
 		}
 		expected := b.expected(now, u, t) * (1 + b.cfg.Spread*(rnd.Float64()-0.5))
@@ -245,6 +271,9 @@
 	if t.DataCentre != b.cfg.DataCentre {
 		e += b.cfg.Crossing.Seconds()
 	}
+	if b.cfg.Open != nil && !b.cfg.Open(t.ID) {
+		e += b.cfg.Dial.Seconds()
+	}
 	if b.stalled(now, u, s) {
 		// Behind all others, the longest stall last.
 		e += unseenStalled.Seconds() + now.Sub(s.open[0]).Seconds()
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -188,6 +188,35 @@
 	assert.Equal(t, b.Standing(list[0]), Usable)
 }
 
+// In a fleet larger than the connections of a target, each process uses some targets only, and others as the last resort.
+func TestForeignTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(2)
+	b.SetLimits(func(t *table.Target) int {
+		if t.ID == "t0" {
+			return 0
+		}
+		return 1
+	})
+	assert.Equal(t, picks(b, at(0), list)["t1"], 1000)
+	b.Sent(at(0), "t1")
+	assert.Equal(t, picks(b, at(0), list)["t0"], 1000)
+	b.Sent(at(0), "t0")
+	assert.Equal(t, len(picks(b, at(0), list)), 0)
+}
+
+// A new connection costs a target time: one that is open is preferred among equals.
+func TestOpenConnectionIsPreferred(t *testing.T) {
+	b := New(Config{DataCentre: "here", Open: func(id string) bool { return id == "t1" }})
+	list := targets(2)
+	for _, x := range list {
+		answer(b, at(100), x.ID, 50, ms(10))
+	}
+	assert.Assert(t, picks(b, at(100), list)["t1"] > 950)
+	answer(b, at(200), "t1", 10, ms(60))
+	assert.Equal(t, picks(b, at(200), list)["t1"], 0)
+}
+
 func TestKeepForgetsUnlisted(t *testing.T) {
 	b := New(Config{DataCentre: "here"})
 	b.Sent(at(0), "t0")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -49,7 +49,8 @@
 const (
 	// DefaultDialTimeout covers a lost opening packet's first repeat only on links within a region.
 	DefaultDialTimeout = 400 * time.Millisecond
-	DefaultIdle        = 4 * time.Second
+	// DefaultIdle keeps one connection for each pair in a fleet where a pair meets every few seconds.
+	DefaultIdle = 30 * time.Second
 	// DefaultIdleMargin is above the time that a request needs to reach a target, also on a busy core.
 	DefaultIdleMargin = 700 * time.Millisecond
 	DefaultCheckAfter = 10 * time.Millisecond
@@ -60,6 +61,7 @@
 	readBuffer  = 4 << 10
 	maxInterim  = 8 // 1xx responses before a reply
 	headerGuess = 512
+	extraGuess  = 128
 )
 
 // Peer is a target to connect to.
@@ -68,17 +70,43 @@
 	Addr netip.AddrPort
 }
 
-// Request is one request. Header must not hold Host or Content-Length.
+// Request is one request.
 type Request struct {
 	Method string
-	URI    string // path and query as they stand in the request line
-	Host   string
-	Header http.Header
+	Head   []byte // from Head; shared by the sends of one request
+	Extra  []Field
 	Body   []byte
+	// Fresh is the longest time that the connection may have been idle; 0 for no bound. A target may have forgotten an
+	// idle connection, and then it can't be told whether it has run the request.
+	Fresh time.Duration
+	Once  bool // the connection isn't kept
 	// Accept reports whether the reply belongs to this request; nil accepts all.
 	Accept func(status int, h http.Header) bool
 }
 
+// Field is one more header.
+type Field struct{ Name, Value string }
+
+// Head returns the request line and the headers of a request. URI is the path and query as they stand in the request
+// line. Header must not hold Host or Content-Length.
+func Head(method, uri, host string, header http.Header, body int) []byte {
+	var b bytes.Buffer
+	b.Grow(headerGuess)
+	b.WriteString(method)
+	b.WriteByte(' ')
+	b.WriteString(uri)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(host)
+	b.WriteString("\r\n")
+	_ = header.Write(&b) // a bytes.Buffer doesn't fail
+	if body > 0 || method != http.MethodGet && method != http.MethodHead {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(body))
+		b.WriteString("\r\n")
+	}
+	return b.Bytes()
+}
+
 // Reply is one whole reply.
 type Reply struct {
 	Status int
@@ -149,6 +177,13 @@
 	}
 }
 
+// Open reports whether there is an idle connection to a target.
+func (p *Pool) Open(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[id]) > 0
+}
+
 // Dialed returns how many connections were opened.
 func (p *Pool) Dialed() uint64 { return p.dialed.Load() }
 
@@ -189,7 +224,7 @@
 
 // Do sends a request and reads the whole reply, until ctx ends. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, to Peer, r *Request) (Reply, error) {
-	c, err := p.open(ctx, to)
+	c, err := p.open(ctx, to, r.Fresh)
 	if err != nil {
 		return Reply{}, &Error{Unsent: true, Silent: isTimeout(err), Err: err}
 	}
@@ -217,14 +252,15 @@
 }
 
 // open returns an idle connection, or a new one.
-func (p *Pool) open(ctx context.Context, to Peer) (*conn, error) {
+func (p *Pool) open(ctx context.Context, to Peer, fresh time.Duration) (*conn, error) {
 	for {
 		c := p.take(to.ID)
 		if c == nil {
 			break
 		}
 		now := time.Now()
-		if now.Before(c.until) && (now.Sub(c.since) < p.cfg.CheckAfter || c.quiet()) {
+		idle := now.Sub(c.since)
+		if now.Before(c.until) && (fresh == 0 || idle < fresh) && (idle < p.cfg.CheckAfter || c.quiet()) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -302,29 +338,22 @@
 	if err != nil {
 		return Reply{}, false, &Error{Silent: isTimeout(err), Err: fmt.Errorf("read reply body: %w", err)}
 	}
-	keep = writeErr == nil && !resp.Close && c.reader.Buffered() == 0
+	keep = writeErr == nil && !r.Once && !resp.Close && c.reader.Buffered() == 0
 	c.until = time.Now().Add(p.keepFor(resp.Header))
 	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
 }
 
 func encode(r *Request) []byte {
-	var b bytes.Buffer
-	b.Grow(headerGuess + len(r.Body))
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(r.URI)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Host)
-	b.WriteString("\r\n")
-	_ = r.Header.Write(&b) // a bytes.Buffer doesn't fail
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
-		b.WriteString("\r\n")
+	out := make([]byte, 0, len(r.Head)+len(r.Body)+extraGuess)
+	out = append(out, r.Head...)
+	for _, f := range r.Extra {
+		out = append(out, f.Name...)
+		out = append(out, ": "...)
+		out = append(out, f.Value...)
+		out = append(out, "\r\n"...)
 	}
-	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	out = append(out, "\r\n"...)
+	return append(out, r.Body...)
 }
 
 func readResponse(reader *bufio.Reader, method string) (*http.Response, error) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -65,7 +65,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-func get() *Request { return &Request{Method: "GET", URI: "/a?b=c", Host: "desk"} }
+func get() *Request { return &Request{Method: "GET", Head: Head("GET", "/a?b=c", "desk", nil, 0)} }
 
 func newPool(t *testing.T) *Pool {
 	t.Helper()
@@ -255,7 +255,7 @@
 		_ = c.Close()
 	}()
 	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
-	reply, failure := do(t, newPool(t), s, &Request{Method: "POST", URI: "/", Host: "h", Body: []byte(strings.Repeat("x", 1<<20))})
+	reply, failure := do(t, newPool(t), s, &Request{Method: "POST", Head: Head("POST", "/", "h", nil, 1<<20), Body: []byte(strings.Repeat("x", 1<<20))})
 	assert.Assert(t, failure == nil, "%v", failure)
 	assert.Equal(t, reply.Status, 413)
 }
@@ -273,10 +273,27 @@
 	assert.Equal(t, s.conns.Load(), int64(2))
 }
 
+// A request that may run once doesn't go out on a connection that its target may have forgotten.
+func TestFreshConnection(t *testing.T) {
+	s := serve(t, func(int64, *http.Request) (string, bool) { return ok("x"), true })
+	p := newPool(t)
+	r := get()
+	r.Fresh = 40 * time.Millisecond
+	for range 2 {
+		_, err := do(t, p, s, r)
+		assert.Assert(t, err == nil)
+	}
+	assert.Equal(t, s.conns.Load(), int64(1))
+	time.Sleep(60 * time.Millisecond)
+	_, err := do(t, p, s, r)
+	assert.Assert(t, err == nil)
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
+
 func TestHeadHasNoBody(t *testing.T) {
 	s := serve(t, func(int64, *http.Request) (string, bool) { return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", true })
 	r := get()
-	r.Method = "HEAD"
+	r.Method, r.Head = "HEAD", Head("HEAD", "/", "desk", nil, 0)
 	reply, err := do(t, newPool(t), s, r)
 	assert.Assert(t, err == nil, "%v", err)
 	assert.Equal(t, len(reply.Body), 0)
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -96,6 +96,7 @@
 	Target  *table.Target
 	Left    time.Duration // that the target may take
 	Again   bool          // not the first send of the part
+	Foreign bool          // for the caller of the plan: the target is left to other processes
 }
 
 // Finish ends the plan. Sends that are still open are not needed any more. Code is one of codes.Complete and Partial,
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -378,8 +378,11 @@
 	return out
 }
 
-// Members is for fleets whose VMs aren't published; here the published list names them.
-func (p *peerEvents) Members(string, peer.Members) {}
+// Crew is for fleets whose VMs aren't published; here the published list names them.
+func (p *peerEvents) Crew(string, peer.Crew) {}
+
+// Opened needs no answer: the control loop looks at Hub.Opened.
+func (p *peerEvents) Opened(string) {}
 
 // Sync is for fleets without a gossip of documents.
 func (p *peerEvents) Sync(_ string, _ peer.Sync, reply func(peer.SyncReply)) {
