Watch the store for one second at a time; compress large documents for peers

With waits of 4 s, both readers noticed at 11.6 s, and the configuration with the new shards came into force 4.9 s after its acknowledgement; requests went to shards that were leaving. Ruled out by trials: the rhythm, warm connections, the preference for open connections, the hedge share, idle times. Also: false pauses in slow spells (a send must be long for its target, most ends must agree); a starting process without any link reads the store after 0.4 s.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -45,6 +45,7 @@
 	began      time.Time
 	keptAt     time.Time
 	reportedAt time.Time
+	packed     packer
 	pauses     []pauseNews // to tell peers of
 	newsAt     time.Time   // when statements are to be passed on; zero: none wait
 	behind     time.Time   // since when a peer has newer documents; zero: none has
@@ -64,7 +65,7 @@
 		seeds[i] = s.String()
 	}
 	c := &control{
-		entry: e, began: now, events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
+		entry: e, began: now, packed: packer{}, events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
 		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{}, e.Self.String(), e.incarnation, seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
@@ -279,6 +280,10 @@
 	if r.Down || r.AsOf == 0 {
 		return
 	}
+	if err := unpack(r.Documents); err != nil {
+		c.entry.Log.Error("documents of a peer can't be used", "error", err)
+		return
+	}
 	age := time.Duration(r.AgeMS) * time.Millisecond
 	if proof := now.Add(-age); r.AgeMS >= 0 && proof.After(c.proof) {
 		c.proof = proof
@@ -353,7 +358,12 @@
 
 func (c *control) syncReply(now time.Time, after uint64) peer.SyncReply {
 	b := c.facts.Since(after)
-	r := peer.SyncReply{Documents: b.Documents, AsOf: b.AsOf, Whole: b.Whole, Lapsed: b.Lapsed, AgeMS: -1}
+	docs, err := c.packed.pack(b.Documents)
+	if err != nil {
+		c.entry.Log.Error("documents for a peer not compressed", "error", err)
+		docs = b.Documents
+	}
+	r := peer.SyncReply{Documents: docs, AsOf: b.AsOf, Whole: b.Whole, Lapsed: b.Lapsed, AgeMS: -1}
 	if !c.proof.IsZero() {
 		r.AgeMS = now.Sub(c.proof).Milliseconds()
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -16,21 +16,23 @@
 	// minReaders and perReader give the number of processes that watch the platform; the others follow these. Two can
 	// stand in for each other; more share out large documents over slow links.
 	minReaders = 2
-	perReader  = 20
-	// watchWait bounds how long a silent platform goes unnoticed by one reader; its peers notice sooner that others
-	// have newer documents.
-	watchWait  = 4 * time.Second
-	watchSlack = 500 * time.Millisecond // beyond watchWait for an answer
+	perReader  = 40
+	// watchWait bounds how long a platform that has fallen silent, or deaf for changes, goes unnoticed. Both readers may
+	// meet it at once, and a configuration must be in force within 3 s.
+	watchWait  = time.Second
+	watchSlack = 300 * time.Millisecond // beyond watchWait for an answer
 	rangeTime  = 2 * time.Second
 	syncWait   = 2 * time.Second
 	syncSlack  = 400 * time.Millisecond
 	// staleAfter is the age of a peer's documents from which a process asks the platform itself: a whole wait of the
 	// reader, and its slack.
-	staleAfter = watchWait + watchSlack
+	staleAfter = watchWait + watchSlack + gatherFor
 	// gatherFor collects changes that come one after the other into one call; each call is paid for.
 	gatherFor = 120 * time.Millisecond
 	// startWait is how long a process that isn't a seed waits for the documents of a peer before it reads them itself.
-	startWait  = 1200 * time.Millisecond
+	startWait = 1200 * time.Millisecond
+	// aloneAfter is how long it waits for a link to any peer.
+	aloneAfter = 400 * time.Millisecond
 	startPause = 100 * time.Millisecond
 	// doubtAfter is the age of a follower's documents from which it looks elsewhere. With the time that a reader needs to
 	// notice, it stays below the 3 s in which a configuration must be in force.
@@ -61,8 +63,7 @@
 		after, complete, reader, age := f.state()
 		var err error
 		switch {
-		case !complete && !f.seed() && time.Since(f.began) < startWait:
-			f.startFromPeer(ctx)
+		case !complete && !f.seed() && time.Since(f.began) < startWait && f.startFromPeer(ctx):
 			continue
 		case !complete:
 			err = f.start(ctx)
@@ -121,14 +122,19 @@
 // seed reports whether this process is one of the seeds, which the others ask first.
 func (f *follower) seed() bool { return slices.Contains(f.entry.Seeds, f.entry.Self) }
 
-// startFromPeer takes everything from a peer, which spares the platform one page after the other.
-func (f *follower) startFromPeer(ctx context.Context) {
+// startFromPeer takes everything from a peer, which spares the platform one page after the other. It reports false if
+// there has been no peer to ask for aloneAfter.
+func (f *follower) startFromPeer(ctx context.Context) bool {
 	var peers []string
 	f.control.ask(func(c *control, _ time.Time) { peers = c.linked() })
-	if len(peers) > 0 {
+	switch {
+	case len(peers) > 0:
 		f.sync(ctx, peers[rand.IntN(len(peers))], 0, 0)
+	case time.Since(f.began) > aloneAfter:
+		return false
 	}
 	sleep(ctx, startPause)
+	return true
 }
 
 // sleep waits until d is over or ctx ends.
--- /dev/null
+++ b/internal/entry/pack.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
+)
+
+const (
+	// packFrom is the size from which a value is compressed for peers, in bytes. A large configuration would take a
+	// reader with a slow link seconds to hand to all its followers.
+	packFrom = 4 << 10
+	// maxUnpacked is above the largest value that the platform holds, 1 MiB.
+	maxUnpacked = 2 << 20
+)
+
+// packer keeps the compressed value of each large document, so that each is compressed once.
+type packer map[string]plat.Document
+
+// pack returns the documents with large values compressed.
+func (p packer) pack(docs []plat.Document) ([]plat.Document, error) {
+	out := make([]plat.Document, len(docs))
+	for i, d := range docs {
+		out[i] = d
+		if len(d.Value) < packFrom {
+			continue
+		}
+		if known := p[d.Key]; known.Revision == d.Revision {
+			out[i] = known
+			continue
+		}
+		var b bytes.Buffer
+		w, err := flate.NewWriter(&b, flate.BestSpeed)
+		if err != nil {
+			return nil, fmt.Errorf("compress %s: %w", d.Key, err)
+		}
+		_, _ = w.Write(d.Value) // a bytes.Buffer doesn't fail
+		if err := w.Close(); err != nil {
+			return nil, fmt.Errorf("compress %s: %w", d.Key, err)
+		}
+		out[i].Value, out[i].Packed = b.Bytes(), true
+		p[d.Key] = out[i]
+	}
+	return out, nil
+}
+
+// unpack undoes pack in place.
+func unpack(docs []plat.Document) error {
+	for i := range docs {
+		if !docs[i].Packed {
+			continue
+		}
+		value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(docs[i].Value)), maxUnpacked))
+		if err != nil {
+			return fmt.Errorf("decompress %s: %w", docs[i].Key, err)
+		}
+		docs[i].Value, docs[i].Packed = value, false
+	}
+	return nil
+}
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -130,6 +130,7 @@
 	outcome := e.outcome(r.call, reply, err)
 	e.mu.Lock()
 	now := time.Now()
+	usual := e.board.UsualAt(r.call.route.Name, s.Target.ID)
 	if errors.Is(r.base.Err(), context.Canceled) && outcome == place.Silent {
 		e.board.Abandoned(now, s.Target.ID, r.call.route.Name, took)
 	} else {
@@ -138,7 +139,6 @@
 	var pause rhythm.Pause
 	news := false
 	if outcome == place.Good {
-		usual, _ := e.board.Usual(r.call.route.Name)
 		pause, news = e.rhythm.Saw(now, s.Target.ID, began, usual)
 	}
 	e.mu.Unlock()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -184,6 +184,15 @@
 	return seconds(u.mean), seconds(u.high)
 }
 
+// UsualAt returns the mean time of a send of a route to a target, as it has replied lately.
+func (b *Board) UsualAt(route, id string) time.Duration {
+	s := b.targets[id]
+	if s == nil {
+		return seconds(b.route(route).mean)
+	}
+	return seconds(b.route(route).mean * max(s.speed, 1))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Standing says why a target can't be picked.
--- a/internal/rhythm/rhythm.go
+++ b/internal/rhythm/rhythm.go
@@ -84,7 +84,7 @@
 	targets map[string]*target
 	votes   map[int]int // by bin of the distance
 	period  time.Duration
-	length  time.Duration // the longest wait that a confirmed pause has caused
+	length  time.Duration // that few waits in confirmed pauses exceed
 }
 
 // New returns a board that knows no pauses.
@@ -129,7 +129,9 @@
 	}
 	t.known = p
 	b.period = cmp.Or(b.period, p.Period)
-	b.length = max(b.length, min(p.Length, b.cfg.MaxPause))
+	if b.length == 0 {
+		b.length = min(p.Length, b.cfg.MaxPause)
+	}
 	return true
 }
 
@@ -148,7 +150,7 @@
 	if t.known.Period > 0 {
 		off := offset(p.End.Sub(t.known.End), t.known.Period)
 		if off <= b.cfg.Tolerance && off >= -b.cfg.Tolerance {
-			b.length = max(b.length, min(p.Length, b.cfg.MaxPause))
+			b.lasted(p.Length)
 			if off < 0 {
 				// What ended sooner shows that the pause did.
 				t.known.End = t.known.End.Add(off / 2)
@@ -235,24 +237,44 @@
 	return d
 }
 
-// confirm looks for two ends that are whole periods apart.
+// confirm looks for two ends that are whole periods apart. Where most ends aren't, the target is slow or varies, and
+// two may agree by chance.
 func (b *Board) confirm(id string, t *target, p Pause) {
 	if b.period == 0 {
 		return
 	}
+	agree := 1
+	var period time.Duration
 	for _, other := range t.ends {
 		d := p.End.Sub(other).Abs()
 		periods := math.Round(float64(d) / float64(b.period))
 		if periods < 1 || offset(d, b.period).Abs() > b.cfg.Tolerance {
 			continue
 		}
+		agree++
 		// A long distance gives the period more precisely than one of its own.
-		period := time.Duration(float64(d) / periods)
-		t.known = Pause{Target: id, End: p.End, Length: p.Length, Period: period}
-		t.strikes = 0
-		b.length = max(b.length, min(p.Length, b.cfg.MaxPause))
+		period = max(period, time.Duration(float64(d)/periods))
+	}
+	if agree < 2 || 2*agree < len(t.ends) {
 		return
 	}
+	t.known = Pause{Target: id, End: p.End, Length: p.Length, Period: period}
+	t.strikes = 0
+	b.lasted(p.Length)
+}
+
+// lasted takes the length of a wait in a confirmed pause. Waits are spread evenly over a pause; the length follows
+// longer ones quickly and shorter ones slowly, so that one false wait doesn't keep targets out for long.
+func (b *Board) lasted(wait time.Duration) {
+	wait = min(wait, b.cfg.MaxPause)
+	switch {
+	case b.length == 0:
+		b.length = wait
+	case wait > b.length:
+		b.length += min(wait-b.length, b.length/4)
+	default:
+		b.length -= (b.length - wait) / 64
+	}
 }
 
 // check looks whether a reply contradicts the pauses that are known.
--- a/internal/rhythm/rhythm_test.go
+++ b/internal/rhythm/rhythm_test.go
@@ -123,6 +123,35 @@
 	assert.Assert(t, avoided < 200)
 }
 
+// A spell of slow replies, after the rhythm is known, must neither lengthen the predicted pauses nor invent new ones.
+func TestSlowSpell(t *testing.T) {
+	f := newFleet(8, 30)
+	f.run(0, 12*time.Second, 7)
+	b := f.boards[0]
+	before := b.length
+	rnd := rand.New(rand.NewPCG(5, 6))
+	now := start.Add(12 * time.Second)
+	for range 3000 {
+		now = now.Add(time.Duration(rnd.IntN(3)) * time.Millisecond)
+		id := fmt.Sprint("slow", rnd.IntN(6))
+		if rnd.IntN(2) == 0 {
+			id = f.targets[rnd.IntN(30)]
+		}
+		b.Saw(now.Add(time.Duration(45+rnd.IntN(300))*time.Millisecond), id, now, usual)
+	}
+	t.Logf("length %v before, %v after", before, b.length)
+	assert.Assert(t, b.length < 140*time.Millisecond)
+	held := 0
+	for i := range 6 {
+		for ms := range 2400 {
+			if b.Wait(now.Add(time.Duration(ms)*time.Millisecond), fmt.Sprint("slow", i), usual) > 0 {
+				held++
+			}
+		}
+	}
+	assert.Assert(t, held < 6*2400/10, "%d", held)
+}
+
 // A target that stops pausing is not avoided for good.
 func TestRefuted(t *testing.T) {
 	b := New(Config{})
--- a/pkg/plat/plat.go
+++ b/pkg/plat/plat.go
@@ -38,6 +38,8 @@
 	Value    []byte `json:"value" cbor:"value"`
 	// Removed says that the key no longer exists; Revision is then that of the removal.
 	Removed bool `json:"removed,omitempty" cbor:"removed,omitempty"`
+	// Packed says that Value is compressed; only between entry processes.
+	Packed bool `json:"-" cbor:"packed,omitempty"`
 }
 
 // Reader reads the configuration service.
