--- a/internal/rhythm/rhythm.go
+++ b/internal/rhythm/rhythm.go
@@ -21,7 +21,8 @@
 // its pauses. Processes tell each other what isn't confirmed yet, so that a fleet in which each process meets a target
 // every few seconds learns as fast as a small one, and says nothing once it knows.
 //
-// A reply from the midst of a predicted pause refutes it; after Strikes of these it is forgotten.
+// A reply from the midst of a predicted pause refutes it; after Strikes of these it is forgotten. Ends that agree with
+// each other, and not with what is known, replace it.
 package rhythm
 
 import (
@@ -61,6 +62,12 @@
 	binWidth  = 10 * time.Millisecond // of the distances between ends
 	maxEnds   = 8                     // kept for each target
 	peakShare = 0.4                   // of the votes for the best bin, that a shorter period needs
+	minWaits  = 5                     // before a long wait is ignored
+	farBeyond = 2.2                   // times the median wait, which is half of the longest
+	maxShare  = 12                    // a target is avoided for one of this many parts of the time at most
+	misfits   = 3                     // ends that agree with each other, and not with what is known, replace it
+	maxWaits  = 64                    // kept
+	dropWaits = 20                    // the longest one in this many doesn't count
 	minDepth  = 20 * time.Millisecond // a reply this far inside a predicted pause refutes it
 )
 
@@ -85,6 +92,7 @@
 	votes   map[int]int // by bin of the distance
 	period  time.Duration
 	length  time.Duration // that few waits in confirmed pauses exceed
+	waits   []time.Duration
 }
 
 // New returns a board that knows no pauses.
@@ -115,7 +123,16 @@
 	}
 	// The work itself went on when the pause had ended.
 	p = Pause{Target: id, End: now.Add(-usual), Length: took - usual}
-	return p, b.take(p)
+	before := b.get(id).known
+	news = b.take(p)
+	switch after := b.get(id).known; {
+	case after.Period > 0 && after != before && news:
+		return after, true
+	case before.Period > 0:
+		// What doesn't fit concerns nobody else before it is confirmed.
+		return Pause{}, false
+	}
+	return p, news
 }
 
 // Heard takes what a peer has seen or confirmed. It reports whether it was new here, and other peers may lack it.
@@ -124,17 +141,22 @@
 		return b.take(p)
 	}
 	t := b.get(p.Target)
-	if t.known.Period > 0 || p.Period < b.cfg.MinPeriod || p.Period > b.cfg.MaxPeriod {
+	if p.Period < b.cfg.MinPeriod || p.Period > b.cfg.MaxPeriod || t.known.Period > 0 && !b.replaces(t, p) {
 		return false
 	}
 	t.known = p
+	t.strikes, t.ends = 0, nil
 	b.period = cmp.Or(b.period, p.Period)
-	if b.length == 0 {
-		b.length = min(p.Length, b.cfg.MaxPause)
-	}
+	b.guess(p.Length)
 	return true
 }
 
+// replaces reports whether a confirmed pause contradicts what is known and rests on later ends.
+func (b *Board) replaces(t *target, p Pause) bool {
+	d := p.End.Sub(t.known.End)
+	return d > t.known.Period && offset(d, t.known.Period).Abs() > 2*b.cfg.Tolerance
+}
+
 func (b *Board) get(id string) *target {
 	t := b.targets[id]
 	if t == nil {
@@ -155,8 +177,8 @@
 				// What ended sooner shows that the pause did.
 				t.known.End = t.known.End.Add(off / 2)
 			}
+			return false
 		}
-		return false
 	}
 	i, near := b.find(t, p.End)
 	if near {
@@ -164,7 +186,7 @@
 	}
 	t.ends = slices.Insert(t.ends, i, p.End)
 	for _, other := range t.ends {
-		if d := p.End.Sub(other).Abs(); d >= b.cfg.MinPeriod && d <= b.cfg.MaxPeriod {
+		if d := p.End.Sub(other).Abs(); t.known.Period == 0 && d >= b.cfg.MinPeriod && d <= b.cfg.MaxPeriod {
 			b.vote(d)
 		}
 	}
@@ -255,26 +277,40 @@
 		// A long distance gives the period more precisely than one of its own.
 		period = max(period, time.Duration(float64(d)/periods))
 	}
-	if agree < 2 || 2*agree < len(t.ends) {
+	need := 2
+	if t.known.Period > 0 {
+		need = misfits
+	}
+	if agree < need || 2*agree < len(t.ends) {
 		return
 	}
+	t.ends = nil
 	t.known = Pause{Target: id, End: p.End, Length: p.Length, Period: period}
 	t.strikes = 0
-	b.lasted(p.Length)
+	b.guess(p.Length)
+}
+
+// guess takes the length of a pause that nothing but its own ends confirms, until there are better ones. It may be that of
+// a slow reply; maxShare bounds what that costs.
+func (b *Board) guess(length time.Duration) {
+	if len(b.waits) == 0 {
+		b.length = max(b.length, min(length, b.cfg.MaxPause, b.period/maxShare))
+	}
 }
 
-// lasted takes the length of a wait in a confirmed pause. Waits are spread evenly over a pause; the length follows
-// longer ones quickly and shorter ones slowly, so that one false wait doesn't keep targets out for long.
+// lasted takes the length of a wait in a confirmed pause. Waits are spread evenly over a pause, so its length is near the
+// longest. A wait far beyond the others had another cause.
 func (b *Board) lasted(wait time.Duration) {
-	wait = min(wait, b.cfg.MaxPause)
-	switch {
-	case b.length == 0:
-		b.length = wait
-	case wait > b.length:
-		b.length += min(wait-b.length, b.length/4)
-	default:
-		b.length -= (b.length - wait) / 64
+	sorted := slices.Sorted(slices.Values(b.waits))
+	if len(sorted) >= minWaits && float64(wait) > farBeyond*float64(sorted[len(sorted)/2]) {
+		return
+	}
+	b.waits = append(b.waits, min(wait, b.cfg.MaxPause, b.period/maxShare))
+	if len(b.waits) > maxWaits {
+		b.waits = b.waits[1:]
 	}
+	sorted = slices.Sorted(slices.Values(b.waits))
+	b.length = sorted[len(sorted)-1-len(sorted)/dropWaits]
 }
 
 // check looks whether a reply contradicts the pauses that are known.
