--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -21,19 +21,19 @@
 	sent  int             // statements on links
 }
 
-func newWorld(n int, cfg Config) *world {
+func newWorld(n int) *world {
 	w := &world{now: start, views: map[string]*View{}, cut: map[string]bool{}, fresh: map[string]bool{}}
 	for i := range n {
 		w.ids = append(w.ids, fmt.Sprintf("vm-%02d", i))
 	}
 	for _, id := range w.ids {
-		w.start(id, cfg, 1)
+		w.start(id, 1)
 	}
 	return w
 }
 
-func (w *world) start(id string, cfg Config, incarnation uint64) {
-	v := New(cfg, id, incarnation, w.ids[:min(3, len(w.ids))], w.now)
+func (w *world) start(id string, incarnation uint64) {
+	v := New(Config{}, id, incarnation, w.ids[:min(3, len(w.ids))], w.now)
 	v.State(true, false)
 	w.views[id] = v
 	w.fresh[id] = true
@@ -45,31 +45,37 @@
 	neighbours := map[string]map[string]bool{}
 	for id, v := range w.views {
 		for _, other := range v.Peers(w.now) {
-			if w.views[other] == nil || w.cut[id] != w.cut[other] {
-				continue
-			}
-			for _, pair := range [][2]string{{id, other}, {other, id}} {
-				if neighbours[pair[0]] == nil {
-					neighbours[pair[0]] = map[string]bool{}
-				}
-				neighbours[pair[0]][pair[1]] = true
-				w.views[pair[0]].Sign(w.now, pair[1])
-				if w.fresh[pair[0]] || w.fresh[pair[1]] {
-					w.views[pair[1]].Take(w.now, pair[0], w.views[pair[0]].Newer(w.views[pair[1]].Summary()))
-				}
+			if w.views[other] != nil && w.cut[id] == w.cut[other] {
+				w.ping(neighbours, id, other)
+				w.ping(neighbours, other, id)
 			}
 		}
 	}
 	clear(w.fresh)
 	for id, v := range w.views {
 		v.Tick(w.now)
-		news := v.News()
-		for other := range neighbours[id] {
-			for _, item := range news {
-				if item.From != other {
-					w.views[other].Take(w.now, id, []Statement{item.Statement})
-					w.sent++
-				}
+		w.flood(id, neighbours[id], v.News())
+	}
+}
+
+// ping lets a process hear another one. On links that have just opened, it also tells what the other lacks.
+func (w *world) ping(neighbours map[string]map[string]bool, id, other string) {
+	if neighbours[id] == nil {
+		neighbours[id] = map[string]bool{}
+	}
+	neighbours[id][other] = true
+	w.views[id].Sign(w.now, other)
+	if w.fresh[id] || w.fresh[other] {
+		w.views[other].Take(w.now, id, w.views[id].Newer(w.views[other].Summary()))
+	}
+}
+
+func (w *world) flood(id string, to map[string]bool, news []Item) {
+	for other := range to {
+		for _, item := range news {
+			if item.From != other {
+				w.views[other].Take(w.now, id, []Statement{item.Statement})
+				w.sent++
 			}
 		}
 	}
@@ -83,7 +89,7 @@
 
 func TestFleetFindsItself(t *testing.T) {
 	for _, n := range []int{1, 2, 9, 14, 80} {
-		w := newWorld(n, Config{})
+		w := newWorld(n)
 		w.run(5 * time.Second)
 		for id, v := range w.views {
 			assert.Equal(t, len(v.Callable()), n-1, "%d processes, %s", n, id)
@@ -94,7 +100,7 @@
 
 // In a large fleet a process has links to a few others only.
 func TestLinksStayFew(t *testing.T) {
-	w := newWorld(200, Config{})
+	w := newWorld(200)
 	w.run(3 * time.Second)
 	for _, v := range w.views {
 		assert.Assert(t, len(v.Peers(w.now)) <= DefaultLinks+DefaultRetries)
@@ -103,7 +109,7 @@
 
 // A fleet that starts must not spend its links on statements: 80 processes have a few each to tell, along 10 links.
 func TestStartIsNotNoisy(t *testing.T) {
-	w := newWorld(80, Config{})
+	w := newWorld(80)
 	w.run(10 * time.Second)
 	before := w.sent
 	t.Logf("%d statements, %.1f for each process and link", before, float64(before)/(80*80*10))
@@ -114,7 +120,7 @@
 
 // Links must not move while nothing changes, also if the caller adds its own to the list.
 func TestLinksStay(t *testing.T) {
-	w := newWorld(40, Config{})
+	w := newWorld(40)
 	w.run(6 * time.Second)
 	before := map[string][]string{}
 	for id, v := range w.views {
@@ -135,7 +141,7 @@
 // all that are left must still find each other.
 func TestKilledProcessesAreDropped(t *testing.T) {
 	for _, share := range []float64{0.02, 0.3, 0.6} {
-		w := newWorld(60, Config{})
+		w := newWorld(60)
 		w.run(3 * time.Second)
 		rnd := rand.New(rand.NewPCG(1, uint64(share*100)))
 		for _, id := range w.ids {
@@ -152,7 +158,7 @@
 
 // A process whose own links are cut still names the others for a while.
 func TestCutOffProcessKeepsTheList(t *testing.T) {
-	w := newWorld(9, Config{})
+	w := newWorld(9)
 	w.run(3 * time.Second)
 	w.cut["vm-04"] = true
 	w.run(3 * time.Second)
@@ -168,31 +174,31 @@
 
 // A stopping process is dropped at its word, and is back with its next incarnation.
 func TestPlannedStop(t *testing.T) {
-	w := newWorld(40, Config{})
+	w := newWorld(40)
 	w.run(3 * time.Second)
 	w.views["vm-07"].State(true, true)
 	w.run(700 * time.Millisecond)
 	assert.Equal(t, len(w.views["vm-30"].Callable()), 38)
 	assert.Equal(t, len(w.views["vm-30"].Running()), 39)
-	w.start("vm-07", Config{}, 2)
+	w.start("vm-07", 2)
 	w.run(2 * time.Second)
 	assert.Equal(t, len(w.views["vm-30"].Callable()), 39)
 }
 
 // The time of day may have stepped back between two lives: the statements of the earlier one must not win.
 func TestRestartWithLowerIncarnation(t *testing.T) {
-	w := newWorld(5, Config{})
+	w := newWorld(5)
 	w.run(2 * time.Second)
 	w.views["vm-04"].State(true, true)
 	w.run(time.Second)
-	w.start("vm-04", Config{}, 0)
+	w.start("vm-04", 0)
 	w.run(2 * time.Second)
 	assert.Equal(t, len(w.views["vm-00"].Callable()), 4)
 }
 
 // Shares of fleet-wide limits must not grow before a silent process can have used up its own.
 func TestSizeShrinksLate(t *testing.T) {
-	w := newWorld(4, Config{})
+	w := newWorld(4)
 	w.run(2 * time.Second)
 	delete(w.views, "vm-03")
 	w.run(9 * time.Second)
@@ -203,7 +209,7 @@
 
 // All processes agree on who reads the platform, and a stopping one isn't among them.
 func TestReaders(t *testing.T) {
-	w := newWorld(30, Config{})
+	w := newWorld(30)
 	w.run(3 * time.Second)
 	readers := w.views["vm-00"].Readers(2)
 	assert.Equal(t, len(readers), 2)
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// ask runs f in loop and waits for its end. It reports false if loop has returned.
-func (c *control) ask(f func(c *control, now time.Time)) bool {
+// ask runs f in loop and waits for its end, or for that of loop.
+func (c *control) ask(f func(c *control, now time.Time)) {
 	done := make(chan struct{})
 	c.post(func(c *control, now time.Time) {
 		f(c, now)
@@ -89,9 +89,7 @@
 	})
 	select {
 	case <-done:
-		return true
 	case <-c.ended:
-		return false
 	}
 }
 
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -127,7 +127,7 @@
 	began := time.Now()
 	reply, err := e.pool.Do(r.base, pool.Peer{ID: s.Target.ID, Addr: s.Target.Addr}, r.request(s))
 	took := time.Since(began)
-	outcome := e.outcome(r.call, reply, err)
+	outcome := e.outcome(reply, err)
 	e.mu.Lock()
 	now := time.Now()
 	usual := e.board.UsualAt(r.call.route.Name, s.Target.ID)
@@ -175,7 +175,7 @@
 }
 
 // outcome says what a reply means.
-func (e *Entry) outcome(c *call, reply pool.Reply, err error) place.Outcome {
+func (e *Entry) outcome(reply pool.Reply, err error) place.Outcome {
 	var failure *pool.Error
 	switch {
 	case errors.As(err, &failure) && failure.Unsent:
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -174,9 +174,10 @@
 // answer writes the final answer.
 func (e *Entry) answer(w http.ResponseWriter, c *call, res result) {
 	code := res.finish.Code
-	if len(c.route.Gather) > 0 && code.OK() {
+	switch {
+	case len(c.route.Gather) > 0 && code.OK():
 		e.answerMerged(w, c, res)
-	} else if len(res.replies) == 1 {
+	case len(res.replies) == 1:
 		reply := res.replies[0]
 		if promises(reply.Status) {
 			// Only a target that says so has not run the request.
@@ -185,7 +186,7 @@
 		}
 		copyHeaders(w.Header(), reply.Header)
 		writeBody(w, reply.Status, reply.Body)
-	} else {
+	default:
 		status := wire.NewStatus(code, c.id, string(res.finish.Reason))
 		status.RetryAfterMS = res.finish.RetryAfter.Milliseconds()
 		e.writeStatus(w, status)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -27,8 +27,7 @@
 
 func serve(t *testing.T, reply func(n int64, r *http.Request) (string, bool)) *script {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := listen(t)
 	t.Cleanup(func() { _ = l.Close() })
 	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
 	go func() {
@@ -61,6 +60,13 @@
 	}
 }
 
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
 func ok(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
@@ -153,8 +159,7 @@
 // serveLate sends a second reply some time after the first.
 func serveLate(t *testing.T) *script {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := listen(t)
 	t.Cleanup(func() { _ = l.Close() })
 	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
 	go func() {
@@ -218,8 +223,7 @@
 }
 
 func TestNobodyListens(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := listen(t)
 	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
 	assert.NilError(t, l.Close())
 	_, failure := do(t, newPool(t), s, get())
@@ -240,8 +244,7 @@
 
 // A target may refuse a long request before it has read all of it.
 func TestEarlyReplyToLongRequest(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := listen(t)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		c, err := l.Accept()
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -222,8 +222,56 @@
 	assert.Equal(t, k.firsts, 1)
 }
 
+// history is a plan with random replies.
+type history struct {
+	rt     *rapid.T
+	plan   *Plan
+	route  *table.Route
+	now    time.Time
+	open   []Send
+	mayRun map[int]int // sends of a part that may have run or may still run
+	ran    bool
+	end    *Finish
+}
+
+func (h *history) handle(actions []Action) {
+	for _, a := range actions {
+		if a.Send != nil {
+			h.open = append(h.open, *a.Send)
+			h.mayRun[a.Send.Part]++
+		}
+		if a.Finish != nil {
+			h.end = a.Finish
+		}
+	}
+	for part, n := range h.mayRun {
+		if n > h.route.Attempts || h.route.Kind == table.Unsafe && n > 1 {
+			h.rt.Fatalf("part %d may run on %d targets", part, n)
+		}
+	}
+}
+
+// step lets one send end, or time pass.
+func (h *history) step() {
+	if len(h.open) == 0 || !rapid.Bool().Draw(h.rt, "reply") {
+		h.now = h.plan.Wake()
+		h.handle(h.plan.Tick(h.now))
+		return
+	}
+	i := rapid.IntRange(0, len(h.open)-1).Draw(h.rt, "which")
+	s := h.open[i]
+	h.open = slices.Delete(h.open, i, i+1)
+	o := rapid.SampledFrom([]place.Outcome{place.Good, place.Fault, place.Refused, place.Unsent, place.Broken}).Draw(h.rt, "outcome")
+	if o == place.Refused || o == place.Unsent {
+		h.mayRun[s.Part]--
+	} else {
+		h.ran = true
+	}
+	h.handle(h.plan.Done(h.now, s.Try, o))
+}
+
 // Whatever happens, a plan ends by its deadline, runs no part on more targets than allowed, and never says "not run"
-// after a send that may have run.
+// after a send that may have run or may still run.
 func TestEveryPlanEnds(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		kind := rapid.SampledFrom([]table.Kind{table.Safe, table.Unsafe}).Draw(rt, "kind")
@@ -233,51 +281,16 @@
 		}
 		k.repeats = rapid.IntRange(0, 6).Draw(rt, "budget")
 		k.standing = rapid.SampledFrom([]place.Standing{place.Busy, place.Down}).Draw(rt, "standing")
-		p := plan(r, k)
-		now := at(0)
-		var open []Send
-		mayRun := map[int]int{}
-		ran := false
-		handle := func(actions []Action) (end *Finish) {
-			for _, a := range actions {
-				if a.Send != nil {
-					open = append(open, *a.Send)
-					mayRun[a.Send.Part]++
-				}
-				if a.Finish != nil {
-					end = a.Finish
-				}
-			}
-			return end
-		}
-		end := handle(p.Start(now))
-		for steps := 0; end == nil; steps++ {
-			if steps > 2000 || now.After(at(801)) {
-				rt.Fatalf("no end at %v", now.Sub(at(0)))
-			}
-			if len(open) > 0 && rapid.Bool().Draw(rt, "reply") {
-				i := rapid.IntRange(0, len(open)-1).Draw(rt, "which")
-				s := open[i]
-				open = slices.Delete(open, i, i+1)
-				o := rapid.SampledFrom([]place.Outcome{place.Good, place.Fault, place.Refused, place.Unsent, place.Broken}).Draw(rt, "outcome")
-				if o == place.Refused || o == place.Unsent {
-					mayRun[s.Part]--
-				} else {
-					ran = true
-				}
-				end = handle(p.Done(now, s.Try, o))
-			} else {
-				now = p.Wake()
-				end = handle(p.Tick(now))
-			}
-			for part, n := range mayRun {
-				if n > r.Attempts || kind == table.Unsafe && n > 1 {
-					rt.Fatalf("part %d may run on %d targets", part, n)
-				}
+		h := &history{rt: rt, plan: plan(r, k), route: r, now: at(0), mayRun: map[int]int{}}
+		h.handle(h.plan.Start(h.now))
+		for steps := 0; h.end == nil; steps++ {
+			if steps > 2000 || h.now.After(at(801)) {
+				rt.Fatalf("no end at %v", h.now.Sub(at(0)))
 			}
+			h.step()
 		}
-		if ran && end.Code.Ran() == codes.NotRun {
-			rt.Fatalf("said not run: %+v", *end)
+		if (h.ran || len(h.open) > 0) && h.end.Code.Ran() == codes.NotRun {
+			rt.Fatalf("said not run: %+v", *h.end)
 		}
 	})
 }
