Bound the cost of learning pauses, and of probes in large fleets

Ruled out: statements (430 KB a process), store calls, logs (31,000 lines). Probes back off, and are rarer in fleets beyond 24.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/crew"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/facts"
@@ -47,9 +48,10 @@
 	reportedAt time.Time
 	packed     packer
 	pauses     []pauseNews // to tell peers of
-	newsAt     time.Time   // when statements are to be passed on; zero: none wait
-	behind     time.Time   // since when a peer has newer documents; zero: none has
-	chasing    bool        // newer documents have been asked for
+	pauseRate  *rate.Limiter
+	newsAt     time.Time // when statements are to be passed on; zero: none wait
+	behind     time.Time // since when a peer has newer documents; zero: none has
+	chasing    bool      // newer documents have been asked for
 }
 
 // waitingSync is a peer's request for changes that has no answer yet.
@@ -65,7 +67,7 @@
 		seeds[i] = s.String()
 	}
 	c := &control{
-		entry: e, began: now, packed: packer{}, events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
+		entry: e, began: now, packed: packer{}, pauseRate: newPauseRate(), events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
 		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{}, e.Self.String(), e.incarnation, seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
@@ -154,6 +156,7 @@
 		e.limits.Store(&shares{size: size, members: running, self: e.Self.String(), view: view, mine: map[string]bool{}})
 		e.mu.Lock()
 		e.budget.SetSize(size)
+		e.board.SetProbers(size)
 		e.mu.Unlock()
 	}
 	e.view.Store(view)
--- a/internal/entry/pauses.go
+++ b/internal/entry/pauses.go
@@ -3,10 +3,21 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/rhythm"
 )
 
+// pausesPerSecond and pausesAtOnce bound what a process says of pauses to each neighbour. A fleet of 80 learns the pauses
+// of 160 targets from about 400 ends.
+const (
+	pausesPerSecond = 10
+	pausesAtOnce    = 100
+)
+
+func newPauseRate() *rate.Limiter { return rate.NewLimiter(pausesPerSecond, pausesAtOnce) }
+
 // pauseNews is a pause to tell peers of.
 type pauseNews struct {
 	pause rhythm.Pause
@@ -24,8 +35,7 @@
 				Target: x.Target, End: now.Add(-microseconds(x.EndAgeUS)), Length: microseconds(x.LengthUS), Period: microseconds(x.PeriodUS),
 			}
 			if e.rhythm.Heard(pause) {
-				c.pauses = append(c.pauses, pauseNews{pause, from})
-				c.newsSoon(now)
+				c.tellOfPause(now, pauseNews{pause, from})
 			}
 		}
 	})
@@ -35,10 +45,14 @@
 
 // sawPause tells peers of a pause that this process has seen.
 func (e *Entry) sawPause(pause rhythm.Pause) {
-	e.control.post(func(c *control, now time.Time) {
-		c.pauses = append(c.pauses, pauseNews{pause: pause})
+	e.control.post(func(c *control, now time.Time) { c.tellOfPause(now, pauseNews{pause: pause}) })
+}
+
+func (c *control) tellOfPause(now time.Time, p pauseNews) {
+	if c.pauseRate.AllowN(now, 1) {
+		c.pauses = append(c.pauses, p)
 		c.newsSoon(now)
-	})
+	}
 }
 
 // sendPauses tells each peer what it did not tell itself.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -82,6 +82,7 @@
 	silentLong    = 200 * time.Millisecond
 	silentMany    = 8
 	brokenInRow   = 2
+	freeProbers   = 24
 	coldFactor    = 1.6 // a target without a reply yet is assumed to be this much slower
 	highPercent   = 0.9
 	highStep      = 0.04
@@ -128,6 +129,7 @@
 	down     bool
 	downFor  time.Duration
 	probeAt  time.Time
+	probeFor time.Duration // pause before the probe after the next
 }
 
 type usual struct {
@@ -141,6 +143,7 @@
 	targets map[string]*target
 	routes  map[string]*usual
 	limits  func(t *table.Target) int
+	probeX  float64 // factor of the pauses between probes
 }
 
 // New returns a board without observations.
@@ -152,7 +155,7 @@
 	cfg.StallFloor = cmp.Or(cfg.StallFloor, DefaultStallFloor)
 	cfg.ProbeEvery = cmp.Or(cfg.ProbeEvery, DefaultProbeEvery)
 	cfg.MaxDown = cmp.Or(cfg.MaxDown, DefaultMaxDown)
-	return &Board{cfg: cfg, targets: map[string]*target{}, routes: map[string]*usual{}}
+	return &Board{cfg: cfg, targets: map[string]*target{}, routes: map[string]*usual{}, probeX: 1}
 }
 
 // SetLimits sets the function that bounds the sends of this process to one target at a time. Where a fleet is larger
@@ -160,6 +163,10 @@
 // no other.
 func (b *Board) SetLimits(f func(t *table.Target) int) { b.limits = f }
 
+// SetProbers sets the number of processes that probe the same targets. Beyond freeProbers, each probes less often, so that
+// a target which comes back isn't met by more probes than it has slots.
+func (b *Board) SetProbers(n int) { b.probeX = max(1, float64(n)/freeProbers) }
+
 func (b *Board) get(id string) *target {
 	t := b.targets[id]
 	if t == nil {
@@ -424,6 +431,7 @@
 	s.down = true
 	s.downFor = min(max(2*s.downFor, downStart), b.cfg.MaxDown)
 	s.probeAt = now.Add(s.downFor)
+	s.probeFor = b.cfg.ProbeEvery
 }
 
 // Probes returns the targets whose health page is to be asked now; each counts as asked.
@@ -431,7 +439,8 @@
 	var out []string
 	for id, s := range b.targets {
 		if s.down && !now.Before(s.probeAt) {
-			s.probeAt = now.Add(b.cfg.ProbeEvery)
+			s.probeAt = now.Add(time.Duration(float64(s.probeFor) * b.probeX))
+			s.probeFor = min(2*s.probeFor, b.cfg.MaxDown)
 			out = append(out, id)
 		}
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -115,6 +115,22 @@
 	assert.Equal(t, b.Standing(list[0]), Usable)
 }
 
+// Probes of a target that stays away become rarer, and in a large fleet each process probes less often.
+func TestProbesBackOff(t *testing.T) {
+	count := func(probers int) (n int) {
+		b := New(Config{DataCentre: "here"})
+		b.SetProbers(probers)
+		b.Sent(at(0), "t0")
+		b.Done(at(1), "t0", "r", Reply{Outcome: Unsent, Latency: ms(1)})
+		for i := range 200 {
+			n += len(b.Probes(at(50 * i)))
+		}
+		return n
+	}
+	assert.Equal(t, count(8), 7)  // at 0.25, 0.75, 1.75, 3.75, ...
+	assert.Equal(t, count(96), 3) // at 0.25, 2.25, 6.25
+}
+
 // One broken connection says little about a target; two in a row take it out.
 func TestBrokenConnections(t *testing.T) {
 	b := New(Config{DataCentre: "here"})
--- a/internal/rhythm/rhythm.go
+++ b/internal/rhythm/rhythm.go
@@ -59,16 +59,18 @@
 )
 
 const (
-	binWidth  = 10 * time.Millisecond // of the distances between ends
-	maxEnds   = 8                     // kept for each target
-	peakShare = 0.4                   // of the votes for the best bin, that a shorter period needs
-	minWaits  = 5                     // before a long wait is ignored
-	farBeyond = 2.2                   // times the median wait, which is half of the longest
-	maxShare  = 12                    // a target is avoided for one of this many parts of the time at most
-	misfits   = 3                     // ends that agree with each other, and not with what is known, replace it
-	maxWaits  = 64                    // kept
-	dropWaits = 20                    // the longest one in this many doesn't count
-	minDepth  = 20 * time.Millisecond // a reply this far inside a predicted pause refutes it
+	binWidth   = 10 * time.Millisecond // of the distances between ends
+	maxNoise   = 24                    // ends without a rhythm after which a target is left alone
+	maxEnds    = 8                     // kept for each target
+	peakShare  = 0.4                   // of the votes for the best bin, that a shorter period needs
+	votesAgain = 64                    // before the period is chosen again
+	minWaits   = 5                     // before a long wait is ignored
+	farBeyond  = 2.2                   // times the median wait, which is half of the longest
+	maxShare   = 12                    // a target is avoided for one of this many parts of the time at most
+	misfits    = 3                     // ends that agree with each other, and not with what is known, replace it
+	maxWaits   = 64                    // kept
+	dropWaits  = 20                    // the longest one in this many doesn't count
+	minDepth   = 20 * time.Millisecond // a reply this far inside a predicted pause refutes it
 )
 
 // Pause is one seen or confirmed pause of a target.
@@ -81,6 +83,7 @@
 
 type target struct {
 	ends    []time.Time // in order of time
+	noise   int         // ends without a rhythm
 	known   Pause       // confirmed if Period is set
 	strikes int
 }
@@ -89,7 +92,8 @@
 type Board struct {
 	cfg     Config
 	targets map[string]*target
-	votes   map[int]int // by bin of the distance
+	votes   []int // by bin of the distance
+	voted   int   // since the period was chosen
 	period  time.Duration
 	length  time.Duration // that few waits in confirmed pauses exceed
 	waits   []time.Duration
@@ -105,7 +109,7 @@
 	cfg.Tolerance = cmp.Or(cfg.Tolerance, DefaultTolerance)
 	cfg.Votes = cmp.Or(cfg.Votes, DefaultVotes)
 	cfg.Strikes = cmp.Or(cfg.Strikes, DefaultStrikes)
-	return &Board{cfg: cfg, targets: map[string]*target{}, votes: map[int]int{}}
+	return &Board{cfg: cfg, targets: map[string]*target{}, votes: make([]int, cfg.MaxPeriod/binWidth+2)}
 }
 
 // Period returns the period of the pauses; 0 if it isn't known.
@@ -145,7 +149,7 @@
 		return false
 	}
 	t.known = p
-	t.strikes, t.ends = 0, nil
+	t.strikes, t.ends, t.noise = 0, nil, 0
 	b.period = cmp.Or(b.period, p.Period)
 	b.guess(p.Length)
 	return true
@@ -184,6 +188,11 @@
 	if near {
 		return false
 	}
+	if t.noise >= maxNoise {
+		// Its replies are late at any time; further ends would only keep peers busy.
+		return false
+	}
+	t.noise++
 	t.ends = slices.Insert(t.ends, i, p.End)
 	for _, other := range t.ends {
 		if d := p.End.Sub(other).Abs(); t.known.Period == 0 && d >= b.cfg.MinPeriod && d <= b.cfg.MaxPeriod {
@@ -213,11 +222,19 @@
 	return i, false
 }
 
-// vote counts a distance and chooses the period: the shortest of the frequent ones, since a pause that nobody met
-// doubles the distance.
+// vote counts a distance, and chooses the period anew after some votes.
 func (b *Board) vote(d time.Duration) {
-	bin := int(d / binWidth)
-	b.votes[bin]++
+	b.votes[d/binWidth]++
+	b.voted++
+	if b.voted < b.cfg.Votes || b.period > 0 && b.voted < votesAgain {
+		return
+	}
+	b.voted = 0
+	b.choose()
+}
+
+// choose chooses the period: the shortest of the frequent distances, since a pause that nobody met doubles the distance.
+func (b *Board) choose() {
 	best := 0
 	for i := range b.votes {
 		best = max(best, b.around(i))
@@ -225,22 +242,30 @@
 	if best < b.cfg.Votes {
 		return
 	}
-	chosen := math.MaxInt
 	for i := range b.votes {
 		if n := b.around(i); float64(n) >= peakShare*float64(best) && n >= b.cfg.Votes/2 {
-			chosen = min(chosen, i)
+			b.period = b.center(i)
+			return
 		}
 	}
-	b.period = b.center(chosen)
 }
 
 // around counts the votes of a bin and its two neighbours.
-func (b *Board) around(i int) int { return b.votes[i-1] + b.votes[i] + b.votes[i+1] }
+func (b *Board) around(i int) int {
+	n := b.votes[i]
+	if i > 0 {
+		n += b.votes[i-1]
+	}
+	if i+1 < len(b.votes) {
+		n += b.votes[i+1]
+	}
+	return n
+}
 
 // center returns the mean distance of the votes near a bin.
 func (b *Board) center(i int) time.Duration {
 	var sum, n float64
-	for j := i - 1; j <= i+3; j++ {
+	for j := max(i-1, 0); j <= min(i+3, len(b.votes)-1); j++ {
 		sum += float64(b.votes[j]) * (float64(j) + 0.5)
 		n += float64(b.votes[j])
 	}
@@ -284,7 +309,7 @@
 	if agree < need || 2*agree < len(t.ends) {
 		return
 	}
-	t.ends = nil
+	t.ends, t.noise = nil, 0
 	t.known = Pause{Target: id, End: p.End, Length: p.Length, Period: period}
 	t.strikes = 0
 	b.guess(p.Length)
--- a/internal/rhythm/rhythm_test.go
+++ b/internal/rhythm/rhythm_test.go
@@ -168,6 +168,31 @@
 	assert.Assert(t, after < 0.005)
 }
 
+// A target whose replies are late at any time must not keep the fleet busy with its ends.
+func TestNoiseIsToldRarely(t *testing.T) {
+	b := New(Config{})
+	rnd := rand.New(rand.NewPCG(7, 8))
+	now := start
+	told := 0
+	for range 5000 {
+		now = now.Add(time.Duration(rnd.IntN(20)) * time.Millisecond)
+		if _, news := b.Saw(now.Add(time.Duration(45+rnd.IntN(300))*time.Millisecond), "t", now, usual); news {
+			told++
+		}
+	}
+	assert.Assert(t, told <= maxNoise+DefaultStrikes*maxNoise, "%d", told)
+}
+
+func BenchmarkSaw(b *testing.B) {
+	board := New(Config{})
+	rnd := rand.New(rand.NewPCG(7, 8))
+	now := start
+	for i := range b.N {
+		now = now.Add(time.Duration(rnd.IntN(20)) * time.Millisecond)
+		board.Saw(now.Add(time.Duration(45+rnd.IntN(300))*time.Millisecond), fmt.Sprint("t", i%100), now, usual)
+	}
+}
+
 // A target that stops pausing is not avoided for good.
 func TestRefuted(t *testing.T) {
 	b := New(Config{})
