Leave the slowest shards out at once when they can't answer by the goal; last resorts

Load pattern: some shards have lost targets and what is left is slow; each query asks all of them, their queues fill, and no query is answered in time. Up to the parts that the route can do without, the slowest are now left out before the send.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -218,11 +218,11 @@
 type picker runner
 
 // Pick implements quest.Picker.
-func (p *picker) Pick(now time.Time, service string, tried []string) (*table.Target, place.Standing) {
+func (p *picker) Pick(now time.Time, service string, tried []string) (*table.Target, time.Duration, place.Standing) {
 	e := p.entry
 	targets := e.view.Load().Targets(service)
-	if t, ok := e.board.Pick(now, e.rnd, p.call.route.Name, targets, tried); ok {
-		return t, place.Usable
+	if t, expected, ok := e.board.Pick(now, e.rnd, p.call.route.Name, targets, tried); ok {
+		return t, expected, place.Usable
 	}
 	standing := place.Down
 	for _, t := range targets {
@@ -230,9 +230,12 @@
 			standing = place.Busy
 		}
 	}
-	return nil, standing
+	return nil, 0, standing
 }
 
+// Chance implements quest.Picker.
+func (p *picker) Chance(x float64) bool { return p.entry.rnd.Float64() < x }
+
 // Repeat implements quest.Picker.
 func (p *picker) Repeat(now time.Time, service string, failed bool) bool {
 	return p.entry.budget.Take(now, service, failed)
--- a/internal/entry/warm.go
+++ b/internal/entry/warm.go
@@ -52,7 +52,7 @@
 		}
 	}
 	for ; open < warmTargets && opened < most; open++ {
-		t, ok := e.board.Pick(now, e.rnd, route, targets, tried)
+		t, _, ok := e.board.Pick(now, e.rnd, route, targets, tried)
 		if !ok || e.board.Standing(t) != place.Usable {
 			return opened
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -82,6 +82,7 @@
 	silentLong    = 200 * time.Millisecond
 	silentMany    = 8
 	brokenInRow   = 2
+	resortFor     = 3 * time.Second
 	freeProbers   = 24
 	coldFactor    = 1.6 // a target without a reply yet is assumed to be this much slower
 	highPercent   = 0.9
@@ -127,6 +128,7 @@
 	silences int
 	broken   int
 	down     bool
+	quiet    bool // out for its silence only
 	downFor  time.Duration
 	probeAt  time.Time
 	probeFor time.Duration // pause before the probe after the next
@@ -236,22 +238,24 @@
 	return Usable
 }
 
-// Pick returns the target with the shortest expected time among those that may be sent to, without the tried ones.
-func (b *Board) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, bool) {
-	for _, standing := range []Standing{Usable, Foreign} {
-		if t, ok := b.pick(now, rnd, route, targets, tried, standing); ok {
-			return t, true
+// Pick returns the target with the shortest expected time among those that may be sent to, without the tried ones, and
+// that time. If all are out, one that has only been silent, and has replied lately, is better than none: it may be slow
+// because it does the work of the others.
+func (b *Board) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, time.Duration, bool) {
+	for _, standing := range []Standing{Usable, Foreign, Down} {
+		if t, expected, ok := b.pick(now, rnd, route, targets, tried, standing); ok {
+			return t, expected, true
 		}
 	}
-	return nil, false
+	return nil, 0, false
 }
 
-func (b *Board) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, standing Standing) (*table.Target, bool) {
+func (b *Board) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, standing Standing) (*table.Target, time.Duration, bool) {
 	var best *table.Target
 	var bestTime float64
 	u := b.route(route)
 	for _, t := range targets {
-		if contains(tried, t.ID) || b.Standing(t) != standing {
+		if contains(tried, t.ID) || b.Standing(t) != standing || standing == Down && !b.lastResort(now, t) {
 			continue
 		}
 		expected := b.expected(now, u, t) * (1 + b.cfg.Spread*(rnd.Float64()-0.5))
@@ -259,7 +263,13 @@
 			best, bestTime = t, expected
 		}
 	}
-	return best, best != nil
+	return best, min(seconds(bestTime), unseenStalled), best != nil
+}
+
+// lastResort reports whether a target that is out for its silence has replied lately and has room.
+func (b *Board) lastResort(now time.Time, t *table.Target) bool {
+	s := b.targets[t.ID]
+	return s.quiet && now.Sub(s.last) < resortFor && len(s.open) < max(s.slots/2, 1)
 }
 
 func contains(list []string, id string) bool {
@@ -389,8 +399,9 @@
 	}
 	s.faults = s.faults*faultKeep + (1 - faultKeep)
 	s.silences++
-	if s.silences >= silentInRow || after >= silentLong && after.Seconds() >= silentMany*u.mean {
+	if !s.down && (s.silences >= silentInRow || after >= silentLong && after.Seconds() >= silentMany*u.mean) {
 		b.takeDown(now, s)
+		s.quiet = true
 	}
 }
 
@@ -425,6 +436,7 @@
 
 // takeDown takes a target out until its health page answers.
 func (b *Board) takeDown(now time.Time, s *target) {
+	s.quiet = false
 	if s.down {
 		return
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -29,7 +29,7 @@
 	rnd := rand.New(rand.NewPCG(1, 2))
 	n := map[string]int{}
 	for range 1000 {
-		if t, ok := b.Pick(now, rnd, "r", list, nil); ok {
+		if t, _, ok := b.Pick(now, rnd, "r", list, nil); ok {
 			n[t.ID]++
 		}
 	}
@@ -174,6 +174,22 @@
 	assert.Assert(t, !b.Down("t1"))
 }
 
+// The last target of a shard is not given up for being slow: it does the work of the others.
+func TestLastTargetIsSlow(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(2)
+	answer(b, at(0), "t0", 50, ms(10))
+	answer(b, at(0), "t1", 50, ms(10))
+	b.Sent(at(0), "t1")
+	b.Done(at(1), "t1", "r", Reply{Outcome: Unsent, Latency: ms(1)})
+	b.Sent(at(10), "t0")
+	b.Abandoned(at(270), "t0", "r", ms(260))
+	assert.Assert(t, b.Down("t0"))
+	assert.Equal(t, picks(b, at(270), list)["t0"], 1000)
+	// Not one that refuses connections, or that has been silent for long.
+	assert.Equal(t, len(picks(b, at(3500), list)), 0)
+}
+
 // A target that answers its health page and fails requests gets few requests, and more once it has answered some.
 func TestFailingTarget(t *testing.T) {
 	b := New(Config{DataCentre: "here"})
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -19,6 +19,10 @@
 // Late shards: at the route's goal, less the time that an answer needs to reach the caller, a gather request that
 // covers the route's least share is answered as it is and says what is missing.
 //
+// Overloaded shards: a part that is expected to come after the goal would only be left out of the answer then, and its
+// target would work for nothing while others wait there. Up to the number of parts that the route can do without, the
+// slowest of these are left out at once, except for a few that show whether the shard is still slow.
+//
 // Lost shards: a shard without any usable target is not waited for. If too many are lost, the request is refused
 // before any target works on it, with the time after which trying again makes sense.
 package quest
@@ -38,6 +42,7 @@
 	AnswerTime time.Duration // that an answer needs from here to the caller
 	HedgeFloor time.Duration // no send is backed by a second one sooner
 	HedgeShare float64       // of the route's goal; a send is backed by a second one after it at the latest
+	TrySlow    float64       // share of the sends to shards that are too slow, 0..1
 	WaitStep   time.Duration // a part without a usable target looks again this often
 	DownAfter  time.Duration // Retry-After when targets are out
 	BusyAfter  time.Duration // Retry-After when targets have no room
@@ -52,7 +57,9 @@
 	DefaultHedgeFloor = 6 * time.Millisecond
 	// DefaultHedgeShare leaves the second send three times the time of the first.
 	DefaultHedgeShare = 0.25
-	DefaultWaitStep   = 5 * time.Millisecond
+	// DefaultTrySlow shows a process within some requests that a shard has recovered.
+	DefaultTrySlow  = 0.15
+	DefaultWaitStep = 5 * time.Millisecond
 	// DefaultDownAfter is the interval at which targets that are out are probed.
 	DefaultDownAfter = 500 * time.Millisecond
 	// DefaultBusyAfter is the time in which a full queue of a target drains.
@@ -77,6 +84,7 @@
 	ReasonDeadline    Reason = "deadline"
 	ReasonAttempts    Reason = "attempts_used_up"
 	ReasonBudget      Reason = "retry_budget_used_up"
+	ReasonSlow        Reason = "shard_too_slow_for_the_goal"
 	ReasonUnsafe      Reason = "may_run_only_once"
 	ReasonUnservable  Reason = "too_many_parts_lost"
 	ReasonLeastFailed Reason = "too_few_parts_answered"
@@ -90,13 +98,14 @@
 
 // Send asks to send the request to a target.
 type Send struct {
-	Try     int
-	Part    int
-	Service string
-	Target  *table.Target
-	Left    time.Duration // that the target may take
-	Again   bool          // not the first send of the part
-	Foreign bool          // for the caller of the plan: the target is left to other processes
+	Try      int
+	Part     int
+	Service  string
+	Target   *table.Target
+	Left     time.Duration // that the target may take
+	Expected time.Duration // that the reply will take
+	Again    bool          // not the first send of the part
+	Foreign  bool          // for the caller of the plan: the target is left to other processes
 }
 
 // Finish ends the plan. Sends that are still open are not needed any more. Code is one of codes.Complete and Partial,
@@ -113,12 +122,15 @@
 
 // Picker chooses targets and keeps the budget.
 type Picker interface {
-	// Pick returns a target for the service; false and the reason if there is none now.
-	Pick(now time.Time, service string, tried []string) (*table.Target, place.Standing)
+	// Pick returns a target for the service and the time that a send to it is expected to take; nil and the reason if
+	// there is none now.
+	Pick(now time.Time, service string, tried []string) (*table.Target, time.Duration, place.Standing)
 	// Repeat takes one more send to the service from the budget. Failed says that it replaces one that has failed.
 	Repeat(now time.Time, service string, failed bool) bool
 	// First counts the first send to a service.
 	First(now time.Time, service string)
+	// Chance returns true with a probability.
+	Chance(p float64) bool
 	// Late returns the time after which a send is later than nearly all.
 	Late() time.Duration
 }
@@ -156,6 +168,7 @@
 	tries    []try
 	good     []int // a try for each part, or -1
 	finished bool
+	starting bool // the sends of Start haven't been handed out
 }
 
 // New returns the plan of a request. Services has one entry for each part. Patience is the time that the caller waits;
@@ -164,6 +177,7 @@
 	cfg.AnswerTime = cmp.Or(cfg.AnswerTime, DefaultAnswerTime)
 	cfg.HedgeFloor = cmp.Or(cfg.HedgeFloor, DefaultHedgeFloor)
 	cfg.HedgeShare = cmp.Or(cfg.HedgeShare, DefaultHedgeShare)
+	cfg.TrySlow = cmp.Or(cfg.TrySlow, DefaultTrySlow)
 	cfg.WaitStep = cmp.Or(cfg.WaitStep, DefaultWaitStep)
 	cfg.DownAfter = cmp.Or(cfg.DownAfter, DefaultDownAfter)
 	cfg.BusyAfter = cmp.Or(cfg.BusyAfter, DefaultBusyAfter)
@@ -188,10 +202,13 @@
 // Start returns the first sends, or the refusal of a request that can't be served.
 func (p *Plan) Start(now time.Time) []Action {
 	p.now = now
+	p.starting = true
+	defer func() { p.starting = false }()
 	var out []Action
 	for i := range p.parts {
 		out = p.dispatch(now, i, out)
 	}
+	out = p.spare(now, out)
 	if f := p.judge(now); f != nil {
 		if len(out) > 0 && f.Code.Ran() == codes.NotRun {
 			// Nothing has been sent yet: the sends are dropped.
@@ -234,7 +251,7 @@
 		return out
 	}
 	again := len(part.tried) > 0
-	t, standing := p.picker.Pick(now, part.service, part.tried)
+	t, expected, standing := p.picker.Pick(now, part.service, part.tried)
 	if t == nil {
 		switch {
 		case part.open > 0:
@@ -246,11 +263,43 @@
 		}
 		return out
 	}
+	if part.open > 0 && !p.goal.IsZero() && now.Before(p.goal) && now.Add(expected).After(p.goal) {
+		return out // a second send would come too late as well
+	}
 	if again && !p.picker.Repeat(now, part.service, part.open == 0) {
 		p.lose(part, ReasonBudget)
 		return out
 	}
-	return append(out, Action{Send: p.send(now, i, t, left, again)})
+	return append(out, Action{Send: p.send(now, i, t, left, again, expected)})
+}
+
+// spare takes back the first sends of the slowest parts that would come after the goal, as far as the route can do
+// without them.
+func (p *Plan) spare(now time.Time, out []Action) []Action {
+	if p.goal.IsZero() {
+		return out
+	}
+	lost := 0
+	for i := range p.parts {
+		if p.parts[i].lost {
+			lost++
+		}
+	}
+	spare := len(p.parts) - p.need() - lost
+	slow := slices.Clone(out)
+	slow = slices.DeleteFunc(slow, func(a Action) bool { return !now.Add(a.Send.Expected).After(p.goal) })
+	slices.SortFunc(slow, func(a, b Action) int { return cmp.Compare(b.Send.Expected, a.Send.Expected) })
+	for _, a := range slow[:max(min(spare, len(slow)), 0)] {
+		if p.picker.Chance(p.cfg.TrySlow) {
+			continue
+		}
+		part := &p.parts[a.Send.Part]
+		part.tried, part.ran, part.open = nil, 0, 0
+		p.tries[a.Send.Try].open = false
+		p.lose(part, ReasonSlow)
+		out = slices.DeleteFunc(out, func(b Action) bool { return b.Send.Try == a.Send.Try })
+	}
+	return out
 }
 
 func (p *Plan) lose(part *part, why Reason) {
@@ -260,14 +309,14 @@
 	}
 }
 
-func (p *Plan) send(now time.Time, i int, t *table.Target, left time.Duration, again bool) *Send {
+func (p *Plan) send(now time.Time, i int, t *table.Target, left time.Duration, again bool, expected time.Duration) *Send {
 	part := &p.parts[i]
 	part.tried = append(part.tried, t.ID)
 	part.ran++
 	part.open++
 	part.sentAt = now
 	p.tries = append(p.tries, try{part: i, sent: now, open: true})
-	return &Send{Try: len(p.tries) - 1, Part: i, Service: part.service, Target: t, Left: left, Again: again}
+	return &Send{Try: len(p.tries) - 1, Part: i, Service: part.service, Target: t, Left: left, Again: again, Expected: expected}
 }
 
 // Done takes the end of a send. Ran says whether the target may have run it.
@@ -468,8 +517,7 @@
 			return true
 		}
 	}
-	starting := !slices.ContainsFunc(p.tries, func(t try) bool { return !t.open || t.sent.After(p.start) })
-	if starting {
+	if p.starting {
 		return false
 	}
 	for i := range p.parts {
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -19,15 +19,16 @@
 	standing place.Standing // when there is none
 	repeats  int            // budget
 	firsts   int
+	expected map[string]time.Duration
 }
 
-func (p *fakePicker) Pick(_ time.Time, service string, tried []string) (*table.Target, place.Standing) {
+func (p *fakePicker) Pick(_ time.Time, service string, tried []string) (*table.Target, time.Duration, place.Standing) {
 	for _, t := range p.targets[service] {
 		if !slices.Contains(tried, t.ID) {
-			return t, place.Usable
+			return t, p.expected[service], place.Usable
 		}
 	}
-	return nil, p.standing
+	return nil, 0, p.standing
 }
 
 func (p *fakePicker) Repeat(time.Time, string, bool) bool {
@@ -37,6 +38,8 @@
 
 func (p *fakePicker) First(time.Time, string) { p.firsts++ }
 
+func (p *fakePicker) Chance(float64) bool { return false }
+
 func (p *fakePicker) Late() time.Duration { return 20 * time.Millisecond }
 
 func picker(services ...string) *fakePicker {
@@ -202,7 +205,7 @@
 
 	delete(k.targets, "shard-07")
 	k.firsts = 0
-	actions := plan(r, k).Start(at(0))
+	actions := plan(r, k).Start(at(3)) // some time after the request has come
 	assert.Equal(t, len(sends(actions)), 0)
 	assert.Equal(t, k.firsts, 0)
 	f := finish(t, actions)
@@ -210,6 +213,31 @@
 	assert.Equal(t, f.RetryAfter, DefaultDownAfter)
 }
 
+// A shard that is too slow for the goal is left out as far as the route can do without it; it is never backed up.
+func TestSlowShardsAreSpared(t *testing.T) {
+	r, k := gather(10, 0.89)
+	k.expected = map[string]time.Duration{"shard-02": 90 * time.Millisecond, "shard-05": 200 * time.Millisecond}
+	p := plan(r, k)
+	first := sends(p.Start(at(0)))
+	assert.Equal(t, len(first), 9)
+	for _, s := range first {
+		assert.Assert(t, s.Service != "shard-05")
+	}
+	for _, s := range first {
+		if s.Service != "shard-02" {
+			p.Done(at(10), s.Try, place.Good)
+		}
+	}
+	assert.Equal(t, len(sends(p.Tick(at(20)))), 0)
+	k.expected = nil
+	assert.Equal(t, len(sends(p.Tick(at(40)))), 1)
+
+	// All of them are asked if none can be spared.
+	r.Least = 1
+	k.expected = map[string]time.Duration{"shard-05": 200 * time.Millisecond}
+	assert.Equal(t, len(sends(plan(r, k).Start(at(0)))), 10)
+}
+
 // A part whose targets have no room waits and looks again.
 func TestBusyPartWaits(t *testing.T) {
 	k := picker()
--- a/internal/quest/replay_test.go
+++ b/internal/quest/replay_test.go
@@ -61,6 +61,22 @@
 	assert.Assert(t, value > plain+0.1, "value %v, plainest rule %v", value, plain)
 }
 
+// Two shards have one target left each, which is slow: together they bear a third of the load, and the route can do without
+// one of ten shards. Asking both for each query would serve none in time.
+func TestReplayOverloadedShards(t *testing.T) {
+	value, plain := load(t, func(s *sim) {
+		for i := range 2 {
+			for j := range 3 {
+				target := s.targets[fmt.Sprintf("shard-%02d-t%d", i, j)]
+				target.down = j > 0
+				target.slow = func(time.Duration) float64 { return 4 }
+			}
+		}
+	}, 100, 2*time.Second, 10*time.Second)
+	assert.Assert(t, value > 0.4, "value %v", value)
+	assert.Assert(t, value > plain+0.3, "value %v, plainest rule %v", value, plain)
+}
+
 // Some targets turn eight times slower for some seconds. Their share must go to the others soon and come back after.
 func TestReplaySlowTargets(t *testing.T) {
 	shape := func(s *sim) {
--- a/internal/quest/sim_test.go
+++ b/internal/quest/sim_test.go
@@ -76,10 +76,15 @@
 	slow    func(t time.Duration) float64 // factor at a time since the start; nil: 1
 	paused  func(t time.Duration) time.Duration
 	arrived int
+	down    bool // refuses connections
 }
 
 func (t *simTarget) take(work time.Duration, reply func(o place.Outcome)) {
 	t.arrived++
+	if t.down {
+		reply(place.Unsent)
+		return
+	}
 	job := func() {
 		t.running++
 		since := t.sim.now.Sub(simStart)
@@ -223,17 +228,17 @@
 	route *table.Route
 }
 
-func (p *simPicker) Pick(now time.Time, service string, tried []string) (*table.Target, place.Standing) {
+func (p *simPicker) Pick(now time.Time, service string, tried []string) (*table.Target, time.Duration, place.Standing) {
 	s := p.front.sim
 	list := s.byName[service]
 	if s.plain {
 		if len(tried) > 0 {
-			return nil, place.Busy
+			return nil, 0, place.Busy
 		}
-		return list[s.rnd.IntN(len(list))], place.Usable
+		return list[s.rnd.IntN(len(list))], 0, place.Usable
 	}
-	if t, ok := p.front.board.Pick(now, s.rnd, p.route.Name, list, tried); ok {
-		return t, place.Usable
+	if t, expected, ok := p.front.board.Pick(now, s.rnd, p.route.Name, list, tried); ok {
+		return t, expected, place.Usable
 	}
 	standing := place.Down
 	for _, t := range list {
@@ -241,7 +246,11 @@
 			standing = place.Busy
 		}
 	}
-	return nil, standing
+	return nil, 0, standing
+}
+
+func (p *simPicker) Chance(x float64) bool {
+	return !p.front.sim.plain && p.front.sim.rnd.Float64() < x
 }
 
 func (p *simPicker) Repeat(now time.Time, service string, failed bool) bool {
