Say in the logs which targets were taken out and which parts an answer lacks

Cause: a partial answer's line named no shard, and no line said when a target was taken out, on what evidence. Change: 'target taken out' with reason, count and age of the last reply; 'target is back'; 'missed' lists up to four parts with the reason of each; outcomes by name; sends are counted for each target and kind.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -376,7 +376,15 @@
 	e := c.entry
 	e.mu.Lock()
 	ids := e.board.Probes(now)
+	turns := e.board.Turns()
 	e.mu.Unlock()
+	for _, t := range turns {
+		if t.Out {
+			e.Log.Every("out "+t.Target, time.Second).Warn("target taken out", "target", t.Target, "why", t.Why.String(), "in_row", t.InRow, "last_reply_ms", t.LastAge.Milliseconds())
+		} else {
+			e.Log.Every("back "+t.Target, time.Second).Info("target is back", "target", t.Target, "evidence", "health page")
+		}
+	}
 	for _, id := range ids {
 		if t, ok := c.book.Target(id); ok && !t.Leaving {
 			go e.probe(t, c.book.View().Service(t.Service).HealthPath)
@@ -394,5 +402,5 @@
 	e.mu.Lock()
 	e.board.Probed(time.Now(), t.ID, healthy)
 	e.mu.Unlock()
-	e.Log.Every("probe "+t.ID, time.Second).Info("target that is out was probed", "target", t.ID, "healthy", healthy, "status", reply.Status, "error", err)
+	e.Log.Every("probe "+t.ID, 5*time.Second).Info("target that is out was probed", "target", t.ID, "healthy", healthy, "status", reply.Status, "error", err)
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -13,7 +13,9 @@
 	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/quest"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/rhythm"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/stats"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
 )
 
 // lingerFor is how long a send goes on after its request was answered without it. Within it, a target that has only
@@ -142,6 +144,7 @@
 		pause, news = e.rhythm.Saw(now, s.Target.ID, began, usual)
 	}
 	e.mu.Unlock()
+	e.Stats.ObserveSub(s.Target.ID, subKind(s), subCode(outcome), took)
 	if news {
 		e.sawPause(pause)
 	}
@@ -151,7 +154,7 @@
 			e.pool.Drop(s.Target.ID)
 		}
 		e.Log.Every("send "+s.Target.ID, time.Second).Info("send failed", "request", r.call.id, "target", s.Target.ID, "service", s.Service,
-			"outcome", int(outcome), "status", reply.Status, "took_ms", took.Milliseconds(), "again", s.Again, "error", err)
+			"outcome", outcome.String(), "status", reply.Status, "took_ms", took.Milliseconds(), "again", s.Again, "error", err)
 	}
 	end := sent{try: s.Try, outcome: outcome}
 	if err == nil {
@@ -174,6 +177,33 @@
 	return &req
 }
 
+func subKind(s quest.Send) stats.Sub {
+	switch {
+	case !s.Again:
+		return stats.First
+	case s.Hedge:
+		return stats.Hedge
+	}
+	return stats.Retry
+}
+
+// subCode returns the result code that a send is counted under.
+func subCode(o place.Outcome) codes.Code {
+	switch o {
+	case place.Good:
+		return codes.Complete
+	case place.Fault:
+		return codes.TargetFailed
+	case place.Refused, place.Replaced:
+		return codes.TargetRefused
+	case place.Unsent:
+		return codes.NotConnected
+	case place.Silent:
+		return codes.DeadlineRunning
+	}
+	return codes.OutcomeUnknown
+}
+
 // outcome says what a reply means.
 func (e *Entry) outcome(reply pool.Reply, err error) place.Outcome {
 	var failure *pool.Error
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -27,6 +27,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -82,6 +83,7 @@
 	silentLong    = 200 * time.Millisecond
 	silentMany    = 8
 	brokenInRow   = 2
+	maxTurns      = 256
 	resortFor     = 3 * time.Second
 	freeProbers   = 24
 	coldFactor    = 1.6 // a target without a reply yet is assumed to be this much slower
@@ -104,6 +106,15 @@
 	Silent                  // no reply in the time allowed
 )
 
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	names := [...]string{"good", "fault", "refused", "replaced", "unsent", "broken", "silent"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return fmt.Sprintf("outcome(%d)", uint8(o))
+}
+
 // Load is what a target reports of itself.
 type Load struct {
 	Running, Waiting, Slots int
@@ -146,6 +157,34 @@
 	routes  map[string]*usual
 	limits  func(t *table.Target) int
 	probeX  float64 // factor of the pauses between probes
+	turns   []Turn
+}
+
+// Turn says that a target was taken out or is back.
+type Turn struct {
+	Target  string
+	Out     bool
+	Why     Outcome       // of the last send, if it is out
+	InRow   int           // sends that ended so, one after the other
+	LastAge time.Duration // since its last reply; negative: it has never replied
+}
+
+// Turns returns what has changed since the last call, at most maxTurns of it.
+func (b *Board) Turns() []Turn {
+	out := b.turns
+	b.turns = nil
+	return out
+}
+
+func (b *Board) turn(now time.Time, id string, s *target, why Outcome) {
+	if len(b.turns) >= maxTurns {
+		return
+	}
+	t := Turn{Target: id, Out: s.down, Why: why, InRow: max(s.silences, s.broken, 1), LastAge: -1}
+	if !s.last.IsZero() {
+		t.LastAge = now.Sub(s.last)
+	}
+	b.turns = append(b.turns, t)
 }
 
 // New returns a board without observations.
@@ -380,27 +419,27 @@
 		s.load = max(s.load, 4)
 		s.loadAt = now
 	case Replaced, Unsent:
-		b.takeDown(now, s)
+		b.takeDown(now, id, s, r.Outcome)
 	case Broken:
 		s.faults = s.faults*faultKeep + (1 - faultKeep)
 		if s.broken++; s.broken >= brokenInRow {
-			b.takeDown(now, s)
+			b.takeDown(now, id, s, Broken)
 		}
 	case Silent:
-		b.silent(now, s, b.route(route), r.Latency)
+		b.silent(now, id, s, b.route(route), r.Latency)
 	}
 }
 
 // silent takes a send without a reply for the given time. A target that has replied to others meanwhile is not silent;
 // one that was wrongly taken out is back after one probe.
-func (b *Board) silent(now time.Time, s *target, u *usual, after time.Duration) {
+func (b *Board) silent(now time.Time, id string, s *target, u *usual, after time.Duration) {
 	if after.Seconds() < silentShort*u.mean || s.last.After(now.Add(-after)) {
 		return
 	}
 	s.faults = s.faults*faultKeep + (1 - faultKeep)
 	s.silences++
 	if !s.down && (s.silences >= silentInRow || after >= silentLong && after.Seconds() >= silentMany*u.mean) {
-		b.takeDown(now, s)
+		b.takeDown(now, id, s, Silent)
 		s.quiet = true
 	}
 }
@@ -431,11 +470,11 @@
 	s := b.get(id)
 	s.closed(now.Add(-after))
 	b.observe(s, b.route(route), after, false)
-	b.silent(now, s, b.route(route), after)
+	b.silent(now, id, s, b.route(route), after)
 }
 
 // takeDown takes a target out until its health page answers.
-func (b *Board) takeDown(now time.Time, s *target) {
+func (b *Board) takeDown(now time.Time, id string, s *target, why Outcome) {
 	s.quiet = false
 	if s.down {
 		return
@@ -444,6 +483,7 @@
 	s.downFor = min(max(2*s.downFor, downStart), b.cfg.MaxDown)
 	s.probeAt = now.Add(s.downFor)
 	s.probeFor = b.cfg.ProbeEvery
+	b.turn(now, id, s, why)
 }
 
 // Probes returns the targets whose health page is to be asked now; each counts as asked.
@@ -466,6 +506,7 @@
 		return
 	}
 	s.down = false
+	b.turn(now, id, s, Good)
 	s.silences, s.broken = 0, 0
 	s.last = now
 	s.load, s.loadAt = 0, time.Time{}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -113,6 +113,10 @@
 	assert.Equal(t, b.Standing(list[0]), Down)
 	b.Probed(at(800), "t0", true)
 	assert.Equal(t, b.Standing(list[0]), Usable)
+	assert.DeepEqual(t, b.Turns(), []Turn{
+		{Target: "t0", Out: true, Why: Unsent, InRow: 1, LastAge: -1}, {Target: "t0", Why: Good, InRow: 1, LastAge: -1},
+	})
+	assert.Equal(t, len(b.Turns()), 0)
 }
 
 // Probes of a target that stays away become rarer, and in a large fleet each process probes less often.
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -79,6 +79,7 @@
 	ReasonNoTargets   Reason = "no_usable_target"
 	ReasonBusy        Reason = "targets_busy"
 	ReasonFailed      Reason = "target_failed"
+	ReasonNoReply     Reason = "no_reply_yet"
 	ReasonRefused     Reason = "send_did_not_run"
 	ReasonBroken      Reason = "connection_lost_after_send"
 	ReasonDeadline    Reason = "deadline"
@@ -90,6 +91,9 @@
 	ReasonLeastFailed Reason = "too_few_parts_answered"
 )
 
+// maxMissed bounds the parts that Finish.Missed names.
+const maxMissed = 4
+
 // Action is what the caller of the plan must do. Exactly one of Send and Finish is set.
 type Action struct {
 	Send   *Send
@@ -105,6 +109,7 @@
 	Left     time.Duration // that the target may take
 	Expected time.Duration // that the reply will take
 	Again    bool          // not the first send of the part
+	Hedge    bool          // backs up one that is still open
 	Foreign  bool          // for the caller of the plan: the target is left to other processes
 }
 
@@ -117,6 +122,7 @@
 	After      Reason // how the last send ended that made the plan give up a part
 	Tries      []int  // whose replies make the answer, one for each covered part
 	Missing    int
+	Missed     []string      // some of the missing parts, each with the reason: "shard-07:no_usable_target"
 	RetryAfter time.Duration // with a code that says not run
 }
 
@@ -228,9 +234,16 @@
 func (p *Plan) finish(out []Action, f *Finish) []Action {
 	p.finished = true
 	for i := range p.parts {
-		if part := &p.parts[i]; part.lost && part.after != "" {
+		part := &p.parts[i]
+		if part.done {
+			continue
+		}
+		if part.lost && part.after != "" {
 			f.After = part.after
 		}
+		if len(p.route.Gather) > 0 && len(f.Missed) < maxMissed {
+			f.Missed = append(f.Missed, part.service+":"+string(part.state()))
+		}
 	}
 	return append(out, Action{Finish: f})
 }
@@ -238,6 +251,17 @@
 // Finished reports whether the plan has ended.
 func (p *Plan) Finished() bool { return p.finished }
 
+// state says why a part is missing.
+func (part *part) state() Reason {
+	switch {
+	case part.lost || part.waiting:
+		return part.why
+	case part.open > 0:
+		return ReasonNoReply
+	}
+	return part.after
+}
+
 // dispatch sends a part to a target if one is usable.
 func (p *Plan) dispatch(now time.Time, i int, out []Action) []Action {
 	part := &p.parts[i]
@@ -316,7 +340,7 @@
 	part.open++
 	part.sentAt = now
 	p.tries = append(p.tries, try{part: i, sent: now, open: true})
-	return &Send{Try: len(p.tries) - 1, Part: i, Service: part.service, Target: t, Left: left, Again: again, Expected: expected}
+	return &Send{Try: len(p.tries) - 1, Part: i, Service: part.service, Target: t, Left: left, Again: again, Hedge: part.open > 1, Expected: expected}
 }
 
 // Done takes the end of a send. Ran says whether the target may have run it.
