--- a/internal/cmds/help.go
+++ b/internal/cmds/help.go
@@ -26,7 +26,7 @@
   5  the request ran and failed
   6  unknown: the request may or may not have run
 
-Documentation: docs/callers.md, docs/operations.md, docs/result-codes.md.`
+Documentation: docs/callers.md, docs/OPERATIONS.md, docs/result-codes.md.`
 
 	serveHelp = `Runs one entry process until it is stopped. Logs are JSON lines on standard error. All faults of the ` +
 		`settings are listed at once, and the process does not start with any.
