Tell callers of the processes in their own data centre

Ruled out: the processor (the same without it); a longer time to live of address answers (2 ms, trial). Change: an address answer names the processes of the caller's data centre if two take requests; all of them in doubt.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -49,16 +49,17 @@
 
 // Config holds the intervals and sizes. Zero fields take the defaults.
 type Config struct {
-	Silence  time.Duration // a process without a sign of life for this long isn't heard
-	Doubt    time.Duration // how long the list stands when most disappear at once
-	Shrink   time.Duration // Size counts a process for this long after it ran last
-	Forget   time.Duration // what is known of a silent process is dropped after this long
-	Start    time.Duration // a new process waits this long for its peers
-	Restate  time.Duration // at least between two statements of a process on what it hears
-	Rechoose time.Duration // at least between two choices of links in a larger fleet
-	Mesh     int           // processes up to which all have links to all
-	Links    int           // that a process of a larger fleet dials
-	Retries  int           // silent processes that a process of a larger fleet dials at a time
+	DataCentre string        // of this process
+	Silence    time.Duration // a process without a sign of life for this long isn't heard
+	Doubt      time.Duration // how long the list stands when most disappear at once
+	Shrink     time.Duration // Size counts a process for this long after it ran last
+	Forget     time.Duration // what is known of a silent process is dropped after this long
+	Start      time.Duration // a new process waits this long for its peers
+	Restate    time.Duration // at least between two statements of a process on what it hears
+	Rechoose   time.Duration // at least between two choices of links in a larger fleet
+	Mesh       int           // processes up to which all have links to all
+	Links      int           // that a process of a larger fleet dials
+	Retries    int           // silent processes that a process of a larger fleet dials at a time
 }
 
 // Defaults of Config.
@@ -95,6 +96,7 @@
 	Seq         uint64   `cbor:"seq"`
 	Ready       bool     `cbor:"ready"`
 	Leaving     bool     `cbor:"leaving"`
+	DataCentre  string   `cbor:"data_centre"`
 	Hears       []string `cbor:"hears"`
 }
 
@@ -134,6 +136,7 @@
 	callable []string
 	shown    []string // the last list for callers that was not in doubt
 	shownAt  time.Time
+	doubtful bool
 	chosen   []string // links of a process of a larger fleet
 	chosenAt time.Time
 }
@@ -152,7 +155,7 @@
 	cfg.Retries = cmp.Or(cfg.Retries, DefaultRetries)
 	v := &View{
 		cfg: cfg, self: self, started: now, seeds: map[string]bool{}, members: map[string]*member{}, news: map[string]string{},
-		mine: Statement{VM: self, Incarnation: incarnation, Seq: 1},
+		mine: Statement{VM: self, Incarnation: incarnation, Seq: 1, DataCentre: cfg.DataCentre},
 	}
 	for _, id := range seeds {
 		if id != self {
@@ -341,15 +344,27 @@
 	}
 	out := slices.DeleteFunc(slices.Clone(v.running), func(id string) bool { return !takes(id) })
 	if 2*len(out) >= len(v.shown) {
-		v.shown, v.shownAt = out, now
+		v.shown, v.shownAt, v.doubtful = out, now, false
 		return out
 	}
+	v.doubtful = true
 	if now.Sub(v.shownAt) > v.cfg.Doubt {
 		return out
 	}
 	return slices.DeleteFunc(slices.Clone(v.shown), func(id string) bool { return !takes(id) })
 }
 
+// DataCentre returns the data centre of a process; empty if it isn't known.
+func (v *View) DataCentre(id string) string {
+	if m := v.members[id]; m != nil {
+		return m.statement.DataCentre
+	}
+	return ""
+}
+
+// Doubtful reports whether the list of callers' addresses stands although most of it has disappeared.
+func (v *View) Doubtful() bool { return v.doubtful }
+
 // Size returns the number of processes that share a fleet-wide limit, this one included.
 func (v *View) Size(now time.Time) int {
 	n := 1
--- a/internal/crew/crew_test.go
+++ b/internal/crew/crew_test.go
@@ -163,7 +163,9 @@
 	w.cut["vm-04"] = true
 	w.run(3 * time.Second)
 	assert.Equal(t, len(w.views["vm-04"].Callable()), 8)
+	assert.Assert(t, w.views["vm-04"].Doubtful())
 	assert.Equal(t, len(w.views["vm-05"].Callable()), 7)
+	assert.Assert(t, !w.views["vm-05"].Doubtful())
 	w.run(4 * time.Second)
 	assert.Equal(t, len(w.views["vm-04"].Callable()), 0)
 	delete(w.cut, "vm-04")
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -68,7 +68,7 @@
 	}
 	c := &control{
 		entry: e, began: now, packed: packer{}, pauseRate: newPauseRate(), events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
-		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{}, e.Self.String(), e.incarnation, seeds, now),
+		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{DataCentre: e.DataCentre}, e.Self.String(), e.incarnation, seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
 	return c
@@ -172,18 +172,19 @@
 
 func (c *control) publishAddresses() {
 	e := c.entry
-	var list []netip.AddrPort
+	var list []address
 	if e.Ready() {
-		list = append(list, netip.AddrPortFrom(e.Self.Addr(), e.CallerPort))
+		list = append(list, address{netip.AddrPortFrom(e.Self.Addr(), e.CallerPort), e.DataCentre})
 	}
 	for _, id := range c.crew.Callable() {
 		if addr, err := netip.ParseAddrPort(id); err == nil {
-			list = append(list, netip.AddrPortFrom(addr.Addr(), e.CallerPort))
+			list = append(list, address{netip.AddrPortFrom(addr.Addr(), e.CallerPort), c.crew.DataCentre(id)})
 		}
 	}
-	if old := *e.callable.Load(); !slices.Equal(old, list) {
-		e.Log.Info("addresses for callers changed", "before", len(old), "now", len(list), "addresses", list)
-		e.callable.Store(&list)
+	next := &directory{list: list, doubtful: c.crew.Doubtful()}
+	if old := e.callable.Load(); !slices.Equal(old.list, list) || old.doubtful != next.doubtful {
+		e.Log.Info("addresses for callers changed", "before", len(old.list), "now", len(list), "doubtful", next.doubtful, "addresses", next.addresses(""))
+		e.callable.Store(next)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,7 +121,7 @@
 	pool     *pool.Pool
 	control  *control
 	view     atomic.Pointer[table.View]
-	callable atomic.Pointer[[]netip.AddrPort]
+	callable atomic.Pointer[directory]
 	ready    atomic.Bool
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -210,7 +210,7 @@
 		e.budget = spend.New(spend.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
 		e.view.Store(table.New().View())
 		e.limits.Store(&shares{size: 1, view: e.view.Load(), mine: map[string]bool{}})
-		e.callable.Store(&[]netip.AddrPort{})
+		e.callable.Store(&directory{})
 		e.board.SetLimits(func(t *table.Target) int { return e.limits.Load().connections(t) })
 	})
 }
@@ -227,8 +227,11 @@
 // Ready reports whether this process takes requests of callers.
 func (e *Entry) Ready() bool { return e.ready.Load() && !e.stopping.Load() }
 
-// Addresses returns where callers may send requests, in no order. It is empty if no process is known to be ready.
-func (e *Entry) Addresses() []netip.AddrPort { return *e.callable.Load() }
+// Addresses returns where callers of a data centre may send requests, in no order. It is empty if no process is known to
+// be ready.
+func (e *Entry) Addresses(dataCentre string) []netip.AddrPort {
+	return e.callable.Load().addresses(dataCentre)
+}
 
 // Snapshot returns the metrics.
 func (e *Entry) Snapshot() any { return e.Stats.Snapshot() }
