Leave room at the targets for the connections of a fleet that has lost power

Ruled out: the processor, documents (ready within 1 s), the retry budget. Change: where a target doesn't bear two connections of each process, the fleet keeps 0.58 of them, and processes younger than 10 s 0.42. A send may use a target that is left to others, on a connection of its own, if it is worth the time.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -152,8 +152,9 @@
 		size = startSize
 	}
 	running := c.crew.Running()
-	if old := e.limits.Load(); old.size != size || old.view != view || !slices.Equal(old.members, running) {
-		e.limits.Store(&shares{size: size, members: running, self: e.Self.String(), view: view, mine: map[string]bool{}})
+	young := now.Sub(c.began) < predecessorFor
+	if old := e.limits.Load(); old.size != size || old.young != young || old.view != view || !slices.Equal(old.members, running) {
+		e.limits.Store(&shares{size: size, young: young, members: running, self: e.Self.String(), view: view, mine: map[string]bool{}})
 		e.mu.Lock()
 		e.budget.SetSize(size)
 		e.board.SetProbers(size)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,6 +143,7 @@
 // shares are this process's parts of the limits of the fleet.
 type shares struct {
 	size    int // processes
+	young   bool
 	members []string
 	self    string
 	view    *table.View
@@ -153,6 +154,12 @@
 	// connectionsUsed is the part of a target's connections that the fleet uses; the rest is for connections that are
 	// being replaced.
 	connectionsUsed = 0.85
+	// After a loss of power, the connections of the lost processes stand at the targets until their idle time is over, and
+	// those of their successors come on top. Where a target doesn't bear two for each process, the fleet keeps
+	// connectionsKept of them, and processes younger than predecessorFor, the idle time, keep only what that leaves.
+	connectionsKept  = 0.58
+	connectionsYoung = 0.42
+	predecessorFor   = 10 * time.Second
 	// defConnections is for a service without a bound.
 	defConnections = 8
 )
@@ -164,9 +171,16 @@
 	if limit <= 0 {
 		return defConnections
 	}
-	used := max(int(float64(limit)*connectionsUsed), 1)
+	if 2*s.size <= limit {
+		return int(float64(limit)*connectionsUsed) / s.size
+	}
+	share := connectionsKept
+	if s.young {
+		share = connectionsYoung
+	}
+	used := max(int(float64(limit)*share), 1)
 	if used >= s.size {
-		return used / s.size
+		return 1
 	}
 	mine, known := s.mine[t.ID]
 	if !known {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -200,8 +200,8 @@
 }
 
 // SetLimits sets the function that bounds the sends of this process to one target at a time. Where a fleet is larger
-// than the connections of a target, it returns 0 for a target that others use; such a target is picked only if there is
-// no other.
+// than the connections of a target, it returns 0 for a target that is left to others; each send to it needs a connection
+// of its own, so that it is picked if those of this process are slow, busy or out.
 func (b *Board) SetLimits(f func(t *table.Target) int) { b.limits = f }
 
 // SetProbers sets the number of processes that probe the same targets. Beyond freeProbers, each probes less often, so that
@@ -281,20 +281,22 @@
 // that time. If all are out, one that has only been silent, and has replied lately, is better than none: it may be slow
 // because it does the work of the others.
 func (b *Board) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, time.Duration, bool) {
-	for _, standing := range []Standing{Usable, Foreign, Down} {
-		if t, expected, ok := b.pick(now, rnd, route, targets, tried, standing); ok {
-			return t, expected, true
-		}
+	usable := func(t *table.Target) bool {
+		standing := b.Standing(t)
+		return standing == Usable || standing == Foreign
+	}
+	if t, expected, ok := b.pick(now, rnd, route, targets, tried, usable); ok {
+		return t, expected, true
 	}
-	return nil, 0, false
+	return b.pick(now, rnd, route, targets, tried, func(t *table.Target) bool { return b.Standing(t) == Down && b.lastResort(now, t) })
 }
 
-func (b *Board) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, standing Standing) (*table.Target, time.Duration, bool) {
+func (b *Board) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, may func(t *table.Target) bool) (*table.Target, time.Duration, bool) {
 	var best *table.Target
 	var bestTime float64
 	u := b.route(route)
 	for _, t := range targets {
-		if contains(tried, t.ID) || b.Standing(t) != standing || standing == Down && !b.lastResort(now, t) {
+		if contains(tried, t.ID) || !may(t) {
 			continue
 		}
 		expected := b.expected(now, u, t) * (1 + b.cfg.Spread*(rnd.Float64()-0.5))
@@ -345,6 +347,9 @@
 	if b.cfg.Open != nil && !b.cfg.Open(t.ID) {
 		e += b.cfg.Dial.Seconds()
 	}
+	if b.limits != nil && b.limits(t) == 0 {
+		e += b.cfg.Dial.Seconds()
+	}
 	if b.stalled(now, u, s) {
 		// Behind all others, the longest stall last.
 		e += unseenStalled.Seconds() + now.Sub(s.open[0]).Seconds()
