Leave a reader that the store turns away as soon as it is stale

A follower waited 2 s for a stale reader, judged its own age from before the wait, and waited once more; and any pong of another stale peer ended the chase after newer documents. Ruled out: the store (two processes had read it), links between processes (pongs named the newer revision). Change: a stale reader answers at once; a follower judges its age afterwards; only documents end a chase.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -50,6 +50,7 @@
 	pauses     []pauseNews // to tell peers of
 	pauseRate  *rate.Limiter
 	newsAt     time.Time // when statements are to be passed on; zero: none wait
+	newest     uint64    // revision of the newest documents that a peer has named
 	behind     time.Time // since when a peer has newer documents; zero: none has
 	chasing    bool      // newer documents have been asked for
 }
@@ -261,9 +262,12 @@
 // compare asks a peer for its documents if it has had newer ones for chaseAfter, in which they should have come the
 // usual way.
 func (c *control) compare(now time.Time, id string, asOf uint64) {
+	if c.facts.AsOf() >= c.newest {
+		c.behind = time.Time{}
+	}
+	c.newest = max(c.newest, asOf)
 	switch {
 	case asOf <= c.facts.AsOf():
-		c.behind = time.Time{}
 	case c.behind.IsZero():
 		c.behind = now
 	case now.Sub(c.behind) >= chaseAfter && !c.chasing:
@@ -349,8 +353,10 @@
 // answerSyncs answers the peers that wait for something newer, or have waited long enough.
 func (c *control) answerSyncs(now time.Time) {
 	kept := c.waiting[:0]
+	// A follower must look elsewhere as soon as this process can't vouch for its documents.
+	stale := now.Sub(c.proof) > staleAfter
 	for _, w := range c.waiting {
-		if c.facts.AsOf() > w.after || !now.Before(w.until) {
+		if stale || c.facts.AsOf() > w.after || !now.Before(w.until) {
 			w.reply(c.syncReply(now, w.after))
 		} else {
 			kept = append(kept, w)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -60,7 +60,7 @@
 	f.began = time.Now()
 	sleep(ctx, startPause)
 	for ctx.Err() == nil {
-		after, complete, reader, age := f.state()
+		after, complete, reader := f.state()
 		var err error
 		switch {
 		case !complete && !f.seed() && time.Since(f.began) < startWait && f.startFromPeer(ctx):
@@ -71,7 +71,7 @@
 			err = f.watch(ctx, after)
 		default:
 			if !f.sync(ctx, reader, after, syncWait) {
-				f.doubt(ctx, reader, age)
+				f.doubt(ctx, reader)
 			}
 			continue
 		}
@@ -82,18 +82,19 @@
 	}
 }
 
-// state returns the revision that is held, whether that is everything, the process to follow (empty for none), and the
-// time since the platform confirmed what is held.
-func (f *follower) state() (after uint64, complete bool, reader string, age time.Duration) {
-	f.control.ask(func(c *control, now time.Time) {
-		after, complete, reader, age = c.facts.AsOf(), c.facts.Complete(), c.reader(), now.Sub(c.proof)
+// state returns the revision that is held, whether that is everything, and the process to follow; empty for none.
+func (f *follower) state() (after uint64, complete bool, reader string) {
+	f.control.ask(func(c *control, _ time.Time) {
+		after, complete, reader = c.facts.AsOf(), c.facts.Complete(), c.reader()
 	})
-	return after, complete, reader, age
+	return after, complete, reader
 }
 
 // doubt turns to the platform when the process that this one follows has had no fresh documents for a while. Links of a
 // new reader take a moment to open.
-func (f *follower) doubt(ctx context.Context, reader string, age time.Duration) {
+func (f *follower) doubt(ctx context.Context, reader string) {
+	var age time.Duration // since the platform confirmed what is held
+	f.control.ask(func(c *control, now time.Time) { age = now.Sub(c.proof) })
 	if age < doubtAfter {
 		sleep(ctx, startPause)
 		return
