--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -395,17 +395,25 @@
 	}
 	for _, id := range ids {
 		if t, ok := c.book.Target(id); ok && !t.Leaving {
-			go e.probe(t, c.book.View().Service(t.Service).HealthPath)
+			p := &probe{entry: e, target: t, path: c.book.View().Service(t.Service).HealthPath}
+			go p.run()
 		}
 	}
 }
 
 // probe asks one health page and tells the board.
-func (e *Entry) probe(t table.Target, path string) {
+type probe struct {
+	entry  *Entry
+	target table.Target
+	path   string
+}
+
+func (p *probe) run() {
+	e, t := p.entry, p.target
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
 	e.pool.Drop(t.ID)
-	reply, err := e.pool.Do(ctx, pool.Peer{ID: t.ID, Addr: t.Addr}, &pool.Request{Method: "GET", Head: pool.Head("GET", path, t.Addr.String(), nil, 0)})
+	reply, err := e.pool.Do(ctx, pool.Peer{ID: t.ID, Addr: t.Addr}, &pool.Request{Method: "GET", Head: pool.Head("GET", p.path, t.Addr.String(), nil, 0)})
 	healthy := err == nil && reply.Status == 200 && reply.Header.Get(e.Names.Instance) == t.ID
 	e.mu.Lock()
 	e.board.Probed(time.Now(), t.ID, healthy)
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -117,14 +117,21 @@
 		}
 		if a.Send != nil {
 			r.sends++
-			go r.send(*a.Send)
+			d := &delivery{runner: r, send: *a.Send}
+			go d.run()
 		}
 	}
 	return finish
 }
 
-// send makes one send, tells the board how it ended, and hands the reply to the plan.
-func (r *runner) send(s quest.Send) {
+// delivery makes one send, tells the board how it ended, and hands the reply to the plan.
+type delivery struct {
+	runner *runner
+	send   quest.Send
+}
+
+func (d *delivery) run() {
+	r, s := d.runner, d.send
 	e := r.entry
 	began := time.Now()
 	reply, err := e.pool.Do(r.base, pool.Peer{ID: s.Target.ID, Addr: s.Target.Addr}, r.request(s))
--- a/internal/entry/warm.go
+++ b/internal/entry/warm.go
@@ -58,16 +58,22 @@
 		}
 		tried = append(tried, t.ID)
 		opened++
-		go e.warmTarget(pool.Peer{ID: t.ID, Addr: t.Addr})
+		o := &opening{entry: e, to: pool.Peer{ID: t.ID, Addr: t.Addr}}
+		go o.run()
 	}
 	return opened
 }
 
-// warmTarget opens one connection. A failure shows at the next send.
-func (e *Entry) warmTarget(to pool.Peer) {
+// opening opens one connection. A failure shows at the next send.
+type opening struct {
+	entry *Entry
+	to    pool.Peer
+}
+
+func (o *opening) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), warmTime)
 	defer cancel()
-	if err := e.pool.Warm(ctx, to); err != nil {
-		e.Log.Every("warm", time.Second).Info("connection not opened ahead", "target", to.ID, "error", err)
+	if err := o.entry.pool.Warm(ctx, o.to); err != nil {
+		o.entry.Log.Every("warm", time.Second).Info("connection not opened ahead", "target", o.to.ID, "error", err)
 	}
 }
