--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -21,9 +21,10 @@
 	// meet it at once, and a configuration must be in force within 3 s.
 	watchWait  = time.Second
 	watchSlack = 300 * time.Millisecond // beyond watchWait for an answer
-	rangeTime  = 2 * time.Second
-	syncWait   = 2 * time.Second
-	syncSlack  = 400 * time.Millisecond
+	rangeTime  = 2 * time.Second        // all pages of the largest set on the slowest link
+	// syncWait is longer than watchWait, since a reader answers as soon as it can't vouch for its documents.
+	syncWait  = 2 * time.Second
+	syncSlack = 400 * time.Millisecond // beyond syncWait; a reader looks at those that wait each controlTick
 	// staleAfter is the age of a peer's documents from which a process asks the platform itself: a whole wait of the
 	// reader, and its slack.
 	staleAfter = watchWait + watchSlack + gatherFor
@@ -33,12 +34,14 @@
 	startWait = 1200 * time.Millisecond
 	// aloneAfter is how long it waits for a link to any peer.
 	aloneAfter = 400 * time.Millisecond
-	startPause = 100 * time.Millisecond
+	startPause = 100 * time.Millisecond // between two questions of a starting process; a round of controlTick
 	// doubtAfter is the age of a follower's documents from which it looks elsewhere. With the time that a reader needs to
 	// notice, it stays below the 3 s in which a configuration must be in force.
 	doubtAfter = time.Second
-	retryMin   = 100 * time.Millisecond
-	retryMax   = 400 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed read; the longer one still notices a return of the platform
+	// within the 2 s in which targets renew their entries.
+	retryMin = 100 * time.Millisecond
+	retryMax = 400 * time.Millisecond
 )
 
 // readersOf returns how many of n processes watch the platform.
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -157,7 +157,6 @@
 
 type try struct {
 	part int
-	sent time.Time
 	open bool
 }
 
@@ -166,7 +165,6 @@
 	cfg      Config
 	route    *table.Route
 	picker   Picker
-	start    time.Time
 	now      time.Time // of the latest event
 	deadline time.Time
 	goal     time.Time // zero: none
@@ -191,7 +189,7 @@
 	if route.Timeout > 0 {
 		patience = min(patience, route.Timeout)
 	}
-	p := &Plan{cfg: cfg, route: route, picker: picker, start: now, deadline: now.Add(patience), parts: make([]part, len(services)), good: make([]int, len(services))}
+	p := &Plan{cfg: cfg, route: route, picker: picker, deadline: now.Add(patience), parts: make([]part, len(services)), good: make([]int, len(services))}
 	if route.Goal > 0 && len(route.Gather) > 0 {
 		p.goal = now.Add(max(route.Goal-cfg.AnswerTime, 0))
 	}
@@ -339,7 +337,7 @@
 	part.ran++
 	part.open++
 	part.sentAt = now
-	p.tries = append(p.tries, try{part: i, sent: now, open: true})
+	p.tries = append(p.tries, try{part: i, open: true})
 	return &Send{Try: len(p.tries) - 1, Part: i, Service: part.service, Target: t, Left: left, Again: again, Hedge: part.open > 1, Expected: expected}
 }
 
