--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -29,6 +29,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
@@ -296,7 +297,7 @@
 	var bestTime float64
 	u := b.route(route)
 	for _, t := range targets {
-		if contains(tried, t.ID) || !may(t) {
+		if slices.Contains(tried, t.ID) || !may(t) {
 			continue
 		}
 		expected := b.expected(now, u, t) * (1 + b.cfg.Spread*(rnd.Float64()-0.5))
@@ -313,15 +314,6 @@
 	return s.quiet && now.Sub(s.last) < resortFor && len(s.open) < max(s.slots/2, 1)
 }
 
-func contains(list []string, id string) bool {
-	for _, s := range list {
-		if s == id {
-			return true
-		}
-	}
-	return false
-}
-
 // expected returns the expected time of a send, in seconds.
 func (b *Board) expected(now time.Time, u *usual, t *table.Target) float64 {
 	s := b.get(t.ID)
