Forget a target whose entry can't be read any more

Cause: control.apply skipped the change that Decode returns beside its error, so that a target whose entry another writer had overwritten stayed in use with its old address, service and state. Ruled out: Decode itself, which has always said Gone (TestDecodeForeignEntries).

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -314,7 +314,6 @@
 		change, err := e.Decode(d)
 		if err != nil {
 			e.Log.Every("document", time.Second).Warn("published document can't be used", "key", d.Key, "revision", d.Revision, "error", err)
-			continue
 		}
 		c.take(d, change)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,7 +79,8 @@
 	Exclude, Include string
 }
 
-// Decode translates a document. An error means that the document can't be read; what it said before stands.
+// Decode translates a document. An error means that the document can't be read. The change that comes with it applies all
+// the same: none for a configuration, so that the last one stands, and Gone for a target, whose old entry is replaced.
 type Decode func(d plat.Document) (Change, error)
 
 // Bounds are the limits of the fleet and the time limits that the platform states.
