Agree on a fall of a target's bound between its two dispatchers

Cause: when a target falls cold, its bound falls under both dispatchers and only one sees the first sign. Besides, a call canceled on a new connection gave no sign, although the target had refused it. Ruled out: an answer tied to the incarnation alone. Change: the primary numbers each fall of its level, and sends nothing new until the secondary has answered that number or may no longer send (2 s). A call canceled on a new connection waits 10 ms more for its reply.

--- /dev/null
+++ b/internal/disp/disp_test.go
@@ -0,0 +1,233 @@
+package disp_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/disp"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/limit"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/member"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/rules"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/state"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/target"
+)
+
+const targetID = "desk-1-t1"
+
+// fakeTarget answers sub-requests after service and records when they came.
+type fakeTarget struct {
+	mu          sync.Mutex
+	incarnation uint64
+	state       target.State
+	service     time.Duration
+	broken      int // replies to cut short
+	came        []time.Time
+}
+
+func (f *fakeTarget) restart(incarnation uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.incarnation, f.state = incarnation, target.Cold
+}
+
+// cut makes the next n replies end early.
+func (f *fakeTarget) cut(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broken = n
+}
+
+func (f *fakeTarget) arrivals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.came)
+}
+
+func (f *fakeTarget) stamp() target.Stamp {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return target.Stamp{Incarnation: f.incarnation, State: f.state, Load: target.Load{Slots: 2}}
+}
+
+func (f *fakeTarget) Sub(ctx context.Context, s target.Sub) (target.SubReply, error) {
+	f.mu.Lock()
+	f.came = append(f.came, time.Now())
+	cut := f.broken > 0
+	f.broken = max(f.broken-1, 0)
+	f.mu.Unlock()
+	select {
+	case <-time.After(f.service):
+		if cut {
+			return target.SubReply{}, &target.Error{Kind: target.Broken, Err: io.ErrUnexpectedEOF}
+		}
+		return target.SubReply{Stamp: f.stamp(), RequestID: s.RequestID, SubID: s.SubID}, nil
+	case <-ctx.Done():
+		return target.SubReply{}, &target.Error{Kind: target.TimedOut, Err: ctx.Err()}
+	}
+}
+
+func (f *fakeTarget) Order(context.Context, target.Order) (target.OrderReply, error) {
+	return target.OrderReply{}, &target.Error{Kind: target.NotSent, Err: errors.New("no orders here")}
+}
+
+// Health lags: it shows the first incarnation for ever.
+func (f *fakeTarget) Health(context.Context) (target.Health, error) {
+	return target.Health{Stamp: target.Stamp{Incarnation: 1, State: target.Warm}, Target: targetID}, nil
+}
+
+func (f *fakeTarget) Reset() {}
+
+// notes keeps what a dispatcher tells its peers of the target.
+type notes struct {
+	mu   sync.Mutex
+	said []peer.TargetNote
+}
+
+func (n *notes) TargetChanged(note peer.TargetNote) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.said = append(n.said, note)
+}
+
+func (n *notes) TargetCrashed(peer.Crash) {}
+func (n *notes) Succeeded(uint64)         {}
+func (n *notes) Survived(string, uint64)  {}
+
+// kept reports whether the secondary has said that it keeps to its share of the level that the primary asked for.
+func (n *notes) kept(ask uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(n.said, func(note peer.TargetNote) bool { return !note.Primary && note.Kept == ask })
+}
+
+// asked returns the number that the primary has asked with last.
+func (n *notes) asked() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.said[len(n.said)-1].Ask
+}
+
+// dispatcher returns one of the two dispatchers of a target with two slots. Shares are by level.
+func dispatcher(t *testing.T, self string, shares []int, f *fakeTarget, n *notes) *disp.Disp {
+	t.Helper()
+	cell := &state.Cell{}
+	cell.Store(&state.Snapshot{
+		Self: self, Serving: true, Rules: rules.Empty(), Standing: member.Standing{SendUntil: time.Now().Add(time.Hour)},
+		Targets: map[string]*state.Target{targetID: {
+			Target: plat.Target{ID: targetID, Slots: 2, Connections: 4}, Dispatchers: []string{"vm-1", "vm-2"}, Shares: shares, Connections: 2,
+		}},
+		Dispatched: []string{targetID},
+	})
+	d, closeDisp := disp.New(disp.Config{
+		State: cell, Now: time.Now, Events: n, Log: log.New(io.Discard), ProbeInterval: time.Hour,
+		NewClient: func(plat.Target, target.Options) (target.Client, func()) { return f, func() {} },
+	})
+	t.Cleanup(closeDisp)
+	d.Update()
+	return d
+}
+
+func submit(d *disp.Disp, id string) <-chan codes.Code {
+	done := make(chan codes.Code, 1)
+	d.Submit(context.Background(), peer.Work{Target: targetID, DeadlineMS: 10_000, Sub: &target.Sub{RequestID: id}},
+		func(r peer.WorkReply) { done <- r.Code })
+	return done
+}
+
+// warmUp sends enough good sub-requests to raise the level to 2, and returns their number.
+func warmUp(d *disp.Disp) int {
+	const n = 2 * limit.DefaultRampGood
+	for i := range n {
+		<-submit(d, fmt.Sprint("warm", i))
+	}
+	return n
+}
+
+var (
+	primaryShares   = []int{0, 1, 1}
+	secondaryShares = []int{0, 0, 1}
+)
+
+// Replays a target with two slots that falls cold and then bears one sub-request: the secondary may have one running
+// when the primary learns of it, so that a further one of the primary exceeds the bound. The primary learns of it by a
+// reply of the new incarnation, or by a reply that is cut short.
+func TestPrimaryWaitsForSecondary(t *testing.T) {
+	for name, fall := range map[string]func(f *fakeTarget){
+		"restart":         func(f *fakeTarget) { f.restart(2) },
+		"reply cut short": func(f *fakeTarget) { f.cut(1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, n := &fakeTarget{incarnation: 1, service: 4 * time.Millisecond, state: target.Warm}, &notes{}
+				d := dispatcher(t, "vm-1", primaryShares, f, n)
+				sent := warmUp(d)
+				fall(f)
+				<-submit(d, "fall")
+				sent++
+
+				next := submit(d, "next")
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, f.arrivals(), sent, "sent while the secondary may have a sub-request running")
+
+				note := peer.TargetNote{Target: targetID, Incarnation: 2, State: target.Cold, Kept: n.asked() - 1}
+				d.Note(note)
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, f.arrivals(), sent, "sent after the answer to an earlier fall")
+
+				note.Kept = n.asked()
+				d.Note(note)
+				assert.Equal(t, <-next, codes.Complete)
+			})
+		})
+	}
+}
+
+// Replays the same with a secondary that can't be told, because the fleet is split or its process is gone.
+func TestPrimaryWaitsUntilSecondaryMayNotSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTarget{incarnation: 1, service: 4 * time.Millisecond, state: target.Warm}
+		d := dispatcher(t, "vm-1", primaryShares, f, &notes{})
+		warmUp(d)
+		f.restart(2)
+		assert.Equal(t, <-submit(d, "fall"), codes.Complete)
+		start := time.Now()
+		assert.Equal(t, <-submit(d, "next"), codes.Complete)
+		waited := time.Since(start)
+		assert.Assert(t, waited >= member.DefaultFreshFor, "sent after %s, when the secondary may still send", waited)
+		assert.Assert(t, waited < 2*member.DefaultFreshFor, "waited for %s", waited)
+	})
+}
+
+// The secondary answers the primary as soon as it has no more running than its share of the level that has fallen.
+func TestSecondaryAnswersThePrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, n := &fakeTarget{incarnation: 1, service: 50 * time.Millisecond, state: target.Warm}, &notes{}
+		d := dispatcher(t, "vm-2", secondaryShares, f, n)
+		d.Note(peer.TargetNote{Target: targetID, Incarnation: 1, State: target.Warm, Level: 2, Primary: true, Ask: 7})
+		time.Sleep(10 * time.Millisecond)
+		assert.Assert(t, n.kept(7), "nothing is running")
+		running := submit(d, "r1")
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, f.arrivals(), 1)
+
+		d.Note(peer.TargetNote{Target: targetID, Incarnation: 2, State: target.Cold, Level: 1, Primary: true, Ask: 8})
+		time.Sleep(30 * time.Millisecond)
+		assert.Assert(t, !n.kept(8), "answers while a sub-request is running")
+		<-running
+		synctest.Wait()
+		assert.Assert(t, n.kept(8), "doesn't answer: %v", n.said)
+	})
+}
--- a/internal/disp/job.go
+++ b/internal/disp/job.go
@@ -115,6 +115,7 @@
 	if stop != nil {
 		stop()
 	}
+	l.answerAsk()
 	l.pump()
 }
 
--- a/internal/disp/lane.go
+++ b/internal/disp/lane.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/admit"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/limit"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/member"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/state"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/trace"
@@ -16,6 +17,9 @@
 	"github.com/fuchsiarelay/fuchsiarelay/pkg/target"
 )
 
+// handoverTime is the time after which a secondary that can't be told may no longer send: the freshness bound.
+const handoverTime = member.DefaultFreshFor
+
 // retryAfter is what is told with a refusal when nothing better is known.
 const retryAfter = 500 * time.Millisecond
 
@@ -43,6 +47,11 @@
 	probing bool
 	probed  time.Time
 	crash   crashReport
+	// handover is the time until which the primary sends nothing new, because the secondary may have more running than its
+	// share of a level that has fallen.
+	handover time.Time
+	ask      uint64 // number of the newest fall that the primary has told of, or that the secondary has heard of
+	kept     uint64 // number of the newest fall that the secondary has answered
 	// sample is the last sub-request that was answered well. It is repeated as the trial that brings the target back
 	// from level 0: fronts send nothing to a target that takes no work, so no caller's request can be the trial.
 	sample peer.Work
@@ -57,6 +66,7 @@
 func newLane(d *Disp, t *state.Target) *lane {
 	l := &lane{
 		disp: d, id: t.ID, addr: t.Addr, target: t.Target,
+		ask:     uint64(max(d.cfg.Now().UnixNano(), 0)), // a later process must not repeat a number
 		limit:   limit.New(limit.Config{Slots: t.Slots}),
 		queue:   admit.New[*job](admit.Config{Length: d.cfg.QueueLength}),
 		running: map[*job]bool{},
@@ -75,6 +85,7 @@
 	l.conns = t.Connections
 	l.client, l.closer = cfg.NewClient(t.Target, target.Options{
 		MaxConns: max(t.Connections, 1),
+		Linger:   newConnNotice,
 		Gate:     func() error { return cfg.State.Load().MayUse(cfg.Now(), id, 0) },
 	})
 }
@@ -160,6 +171,9 @@
 	l.mu.Lock()
 	share := snap.Share(l.id, l.limit.Level())
 	l.queue.SetSlots(max(share, 1))
+	if now.Before(l.handover) {
+		share = 0
+	}
 	var expired []admit.Item[*job]
 	for len(l.running) < share && !l.suspectRunning(snap) {
 		if l.alone != nil {
@@ -307,6 +321,10 @@
 		// What the lower share can't drain soon is better served by a replica.
 		out = l.queue.Recall(2 * snap.Share(l.id, l.limit.Level()))
 	}
+	if t := snap.Targets[l.id]; t != nil && len(t.Dispatchers) > 1 && snap.Rank(l.id) == 0 && (change.Fell || change.Incarnation) {
+		l.ask++
+		l.handover = now.Add(handoverTime)
+	}
 	note := l.note(snap)
 	l.mu.Unlock()
 	refuseAll(out, codes.TargetRefused, "the target fell back; the work was recalled", retryAfter, nil)
@@ -343,9 +361,11 @@
 func (l *lane) note(snap *state.Snapshot) peer.TargetNote {
 	n := peer.TargetNote{Target: l.id, Incarnation: l.incarnation(), State: l.stamp.State, Served: l.served}
 	if snap.Rank(l.id) != 0 {
+		n.Kept = l.kept
 		return n
 	}
 	n.Primary = true
+	n.Ask = l.ask
 	n.Level = l.limit.Level()
 	switch l.limit.State() {
 	case limit.Cold, limit.Warming, limit.Gone:
@@ -368,19 +388,38 @@
 		// The secondary repeats the target's own word, which may be old, as a health page is.
 		s.Kind = limit.Health
 	}
-	if s.Kind == limit.Health && n.State == "" {
-		return
-	}
 	now := l.disp.cfg.Now()
 	snap := l.disp.cfg.State.Load()
 	l.mu.Lock()
-	if !n.Primary || snap.Rank(l.id) != 0 {
+	if (n.Primary && snap.Rank(l.id) != 0) || (!n.Primary && n.State != "") {
 		l.limit.Observe(now, s)
 	}
+	switch {
+	case n.Primary && snap.Rank(l.id) > 0:
+		l.ask = n.Ask
+	case !n.Primary && snap.Rank(l.id) == 0 && n.Kept == l.ask:
+		l.handover = time.Time{}
+	}
 	l.mu.Unlock()
+	l.answerAsk()
 	l.pump()
 }
 
+// answerAsk tells the primary that this dispatcher has no more running than its share of a level that has fallen.
+func (l *lane) answerAsk() {
+	snap := l.disp.cfg.State.Load()
+	l.mu.Lock()
+	due := l.ask != l.kept && snap.Rank(l.id) > 0 && len(l.running) <= snap.Share(l.id, l.limit.Level())
+	if due {
+		l.kept = l.ask
+	}
+	note := l.note(snap)
+	l.mu.Unlock()
+	if due {
+		l.disp.cfg.Events.TargetChanged(note)
+	}
+}
+
 // runProbe asks for the health page.
 func (l *lane) runProbe() {
 	ctx, cancel := context.WithTimeout(l.disp.ctx, l.disp.cfg.ProbeInterval)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -101,12 +101,16 @@
 
 // TargetNote says what a dispatcher knows of a target.
 type TargetNote struct {
-	Target      string          `cbor:"target"`
-	Incarnation uint64          `cbor:"incarnation"`
-	State       target.State    `cbor:"state"`
-	Level       int             `cbor:"level"`
-	Primary     bool            `cbor:"primary"`
-	Served      []target.Served `cbor:"served,omitempty"`
+	Target      string       `cbor:"target"`
+	Incarnation uint64       `cbor:"incarnation"`
+	State       target.State `cbor:"state"`
+	Level       int          `cbor:"level"`
+	Primary     bool         `cbor:"primary"`
+	// Ask numbers the falls of the level that the primary has seen. The secondary repeats the newest number in Kept as soon
+	// as it has no more running than its share of that level.
+	Ask    uint64          `cbor:"ask,omitempty"`
+	Kept   uint64          `cbor:"kept,omitempty"`
+	Served []target.Served `cbor:"served,omitempty"`
 }
 
 // Crash says that a target broke off while the fingerprints were running there.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -259,7 +259,8 @@
 }
 
 func samePeerNote(a, b peer.TargetNote) bool {
-	return a.Incarnation == b.Incarnation && a.State == b.State && a.Level == b.Level && a.Primary == b.Primary && slices.Equal(a.Served, b.Served)
+	return a.Incarnation == b.Incarnation && a.State == b.State && a.Level == b.Level && a.Primary == b.Primary && a.Ask == b.Ask && a.Kept == b.Kept &&
+		slices.Equal(a.Served, b.Served)
 }
 
 // peerEvents is the relay as the handler of its hub.
--- a/pkg/target/http.go
+++ b/pkg/target/http.go
@@ -27,6 +27,9 @@
 	// Gate is asked before each write to the target. An error keeps the bytes back and ends the call as NotSent. It
 	// closes the gap between the decision to send and the write, in which a process may have been suspended.
 	Gate func() error
+	// Linger is the time for which a call that was canceled on a new connection still waits for its reply. The cost of a
+	// connection can delay a refusal, which tells the state of the target, until after the cancellation.
+	Linger time.Duration
 	// DialContext replaces the dialer, for tests.
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -34,6 +37,7 @@
 // HTTP is the Client over HTTP/1.1 with JSON bodies.
 type HTTP struct {
 	base   string
+	linger time.Duration
 	pooled *http.Client // sub-requests and health
 	single *http.Client // orders: one new connection each
 }
@@ -56,7 +60,7 @@
 	single := &http.Transport{
 		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
 	}
-	c := &HTTP{base: "http://" + addr.String(), pooled: &http.Client{Transport: pooled}, single: &http.Client{Transport: single}}
+	c := &HTTP{base: "http://" + addr.String(), linger: opt.Linger, pooled: &http.Client{Transport: pooled}, single: &http.Client{Transport: single}}
 	return c, c.Reset
 }
 
@@ -123,19 +127,28 @@
 		connected.Store(true)
 		reused.Store(info.Reused)
 	}}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	resp, err := hc.Do(req)
+	asked := req.Context()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(asked))
+	defer cancel()
+	defer context.AfterFunc(asked, func() {
+		if connected.Load() && !reused.Load() && errors.Is(asked.Err(), context.Canceled) {
+			time.AfterFunc(c.linger, cancel)
+			return
+		}
+		cancel()
+	})()
+	resp, err := hc.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		var refused *gateError
 		if !connected.Load() || errors.As(err, &refused) {
 			return &Error{Kind: NotSent, Err: err}
 		}
-		return &Error{Kind: lostKind(req.Context()), Err: err, NewConn: !reused.Load()}
+		return &Error{Kind: lostKind(asked), Err: err, NewConn: !reused.Load()}
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
 	switch {
-	case err != nil && req.Context().Err() != nil:
+	case err != nil && asked.Err() != nil:
 		return &Error{Kind: TimedOut, Err: err}
 	case err != nil:
 		return &Error{Kind: Broken, Err: err}
--- a/pkg/target/http_test.go
+++ b/pkg/target/http_test.go
@@ -102,3 +102,32 @@
 		})
 	}
 }
+
+// Replays a hedge that wins while the other call is on a new connection, whose target has fallen cold and refuses it
+// after the cost of a connection. Without that answer the caller would send the next one as well.
+func TestCanceledCallOnNewConnectionHearsRefusal(t *testing.T) {
+	opt := target.Options{Linger: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	var calls atomic.Int32
+	c := serve(t, opt, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		if calls.Add(1) > 1 {
+			<-r.Context().Done() // work that takes longer than anybody waits
+			return
+		}
+		cancel()
+		time.Sleep(20 * time.Millisecond)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"reason":"shed","incarnation":2,"state":"cold"}`)
+	})
+	_, err := c.Sub(ctx, target.Sub{RequestID: "r1"})
+	expectKind(t, err, target.Refused)
+
+	// The connection is known now, and a call on it ends as soon as it is canceled.
+	ctx, cancel = context.WithCancel(context.Background())
+	time.AfterFunc(5*time.Millisecond, cancel)
+	start := time.Now()
+	_, err = c.Sub(ctx, target.Sub{RequestID: "r2"})
+	expectKind(t, err, target.TimedOut)
+	assert.Assert(t, time.Since(start) < opt.Linger/2)
+}
