Name the strongest processes of a large fleet to callers

Cause: in the grown fleets, 80 processes share 72 connections of each target and see each target every other second. Ruled out: more connections for each process (they don't fit beside those of a fleet that lost power), fewer hedges. Change: internal/lineup chooses the strongest processes of each data centre, 0.3 of its capacity and at least two; those that say that their timers are late get help. The connections of targets are divided among the chosen ones. Small fleets serve as a whole, as before. Also: the address listener answered with a nil pointer before Run.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -50,6 +50,7 @@
 // Config holds the intervals and sizes. Zero fields take the defaults.
 type Config struct {
 	DataCentre string        // of this process
+	Capacity   float64       // of its VM, in cores
 	Silence    time.Duration // a process without a sign of life for this long isn't heard
 	Doubt      time.Duration // how long the list stands when most disappear at once
 	Shrink     time.Duration // Size counts a process for this long after it ran last
@@ -98,6 +99,8 @@
 	Leaving     bool     `cbor:"leaving"`
 	DataCentre  string   `cbor:"data_centre"`
 	Hears       []string `cbor:"hears"`
+	Capacity    float64  `cbor:"capacity"` // of its VM, in cores
+	Busy        bool     `cbor:"busy"`     // has no room for more
 }
 
 // Stamp says which statement of a process is known.
@@ -155,7 +158,7 @@
 	cfg.Retries = cmp.Or(cfg.Retries, DefaultRetries)
 	v := &View{
 		cfg: cfg, self: self, started: now, seeds: map[string]bool{}, members: map[string]*member{}, news: map[string]string{},
-		mine: Statement{VM: self, Incarnation: incarnation, Seq: 1, DataCentre: cfg.DataCentre},
+		mine: Statement{VM: self, Incarnation: incarnation, Seq: 1, DataCentre: cfg.DataCentre, Capacity: cfg.Capacity},
 	}
 	for _, id := range seeds {
 		if id != self {
@@ -190,9 +193,9 @@
 }
 
 // State sets what this process says of itself.
-func (v *View) State(ready, leaving bool) {
-	if v.mine.Ready != ready || v.mine.Leaving != leaving {
-		v.mine.Ready, v.mine.Leaving = ready, leaving
+func (v *View) State(ready, leaving, busy bool) {
+	if v.mine.Ready != ready || v.mine.Leaving != leaving || v.mine.Busy != busy {
+		v.mine.Ready, v.mine.Leaving, v.mine.Busy = ready, leaving, busy
 		v.restate()
 	}
 }
@@ -354,12 +357,12 @@
 	return slices.DeleteFunc(slices.Clone(v.shown), func(id string) bool { return !takes(id) })
 }
 
-// DataCentre returns the data centre of a process; empty if it isn't known.
-func (v *View) DataCentre(id string) string {
+// Statement returns what a process says of itself; the zero value if it isn't known.
+func (v *View) Statement(id string) Statement {
 	if m := v.members[id]; m != nil {
-		return m.statement.DataCentre
+		return m.statement
 	}
-	return ""
+	return Statement{}
 }
 
 // Doubtful reports whether the list of callers' addresses stands although most of it has disappeared.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/crew"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/facts"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/lineup"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
@@ -47,6 +48,9 @@
 	keptAt     time.Time
 	reportedAt time.Time
 	packed     packer
+	lag        lineup.Lag
+	tickedAt   time.Time
+	busy       bool        // has no room for more requests
 	pauses     []pauseNews // to tell peers of
 	pauseRate  *rate.Limiter
 	newsAt     time.Time // when statements are to be passed on; zero: none wait
@@ -69,7 +73,7 @@
 	}
 	c := &control{
 		entry: e, began: now, packed: packer{}, pauseRate: newPauseRate(), events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
-		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{DataCentre: e.DataCentre}, e.Self.String(), e.incarnation, seeds, now),
+		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.Self.String(), e.incarnation, seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
 	return c
@@ -109,7 +113,12 @@
 		case f := <-c.events:
 			f(c, time.Now())
 		case <-tick.C:
-			c.tick(time.Now())
+			now := time.Now()
+			if !c.tickedAt.IsZero() {
+				c.busy = c.lag.Observe(now.Sub(c.tickedAt) - controlTick)
+			}
+			c.tickedAt = now
+			c.tick(now)
 		}
 	}
 }
@@ -148,48 +157,84 @@
 	c.crew.Tick(now)
 	e.asOf.Store(c.facts.AsOf())
 	view := c.book.View()
-	size := c.crew.Size(now)
-	if !c.crew.Settled(now) {
-		size = startSize
-	}
-	running := c.crew.Running()
-	young := now.Sub(c.began) < predecessorFor
-	if old := e.limits.Load(); old.size != size || old.young != young || old.view != view || !slices.Equal(old.members, running) {
-		e.limits.Store(&shares{size: size, young: young, members: running, self: e.Self.String(), view: view, mine: map[string]bool{}})
-		e.mu.Lock()
-		e.budget.SetSize(size)
-		e.board.SetProbers(size)
-		e.mu.Unlock()
-	}
 	e.view.Store(view)
 	ready := view.Config != nil && c.facts.Complete()
 	if e.ready.Swap(ready) != ready {
 		e.Log.Info("readiness changed", "ready", ready, "as_of", c.facts.AsOf())
 	}
-	c.crew.State(ready, e.stopping.Load())
+	c.crew.State(ready, e.stopping.Load(), c.busy)
 	c.publishAddresses()
+	c.publishShares(now, view)
 	c.link(now)
 	c.newsSoon(now)
 }
 
+// publishShares divides the limits of the fleet anew if the processes that share them have changed.
+func (c *control) publishShares(now time.Time, view *table.View) {
+	e := c.entry
+	old := e.limits.Load()
+	next := &shares{
+		size: startSize, young: now.Sub(c.began) < predecessorFor, self: netip.AddrPortFrom(e.Self.Addr(), e.CallerPort),
+		chosen: e.callable.Load().chosen(), view: view, mine: map[string]bool{},
+	}
+	if c.crew.Settled(now) {
+		next.size = c.crew.Size(now)
+	}
+	if e.stopping.Load() {
+		// Callers who keep an old address are served as before until the end.
+		next.chosen = old.chosen
+	}
+	if old.size == next.size && old.young == next.young && old.view == view && slices.Equal(old.chosen, next.chosen) {
+		return
+	}
+	e.limits.Store(next)
+	e.mu.Lock()
+	e.budget.SetSize(next.size)
+	e.board.SetProbers(next.size)
+	e.mu.Unlock()
+}
+
 func (c *control) publishAddresses() {
 	e := c.entry
-	var list []address
+	next := &directory{doubtful: c.crew.Doubtful()}
 	if e.Ready() {
-		list = append(list, address{netip.AddrPortFrom(e.Self.Addr(), e.CallerPort), e.DataCentre})
+		next.list = append(next.list, address{
+			addr: netip.AddrPortFrom(e.Self.Addr(), e.CallerPort), dataCentre: e.DataCentre, capacity: e.Capacity, busy: c.busy,
+		})
 	}
 	for _, id := range c.crew.Callable() {
 		if addr, err := netip.ParseAddrPort(id); err == nil {
-			list = append(list, address{netip.AddrPortFrom(addr.Addr(), e.CallerPort), c.crew.DataCentre(id)})
+			s := c.crew.Statement(id)
+			next.list = append(next.list, address{
+				addr: netip.AddrPortFrom(addr.Addr(), e.CallerPort), dataCentre: s.DataCentre, capacity: s.Capacity, busy: s.Busy,
+			})
 		}
 	}
-	next := &directory{list: list, doubtful: c.crew.Doubtful()}
-	if old := e.callable.Load(); !slices.Equal(old.list, list) || old.doubtful != next.doubtful {
-		e.Log.Info("addresses for callers changed", "before", len(old.list), "now", len(list), "doubtful", next.doubtful, "addresses", next.addresses(""))
+	next.choose(c.fewestConnections())
+	if old := e.callable.Load(); !slices.Equal(old.list, next.list) || old.doubtful != next.doubtful {
+		e.Log.Info("addresses for callers changed", "before", len(old.list), "now", len(next.list), "doubtful", next.doubtful,
+			"chosen", next.chosen(), "busy", c.busy)
 		e.callable.Store(next)
 	}
 }
 
+// fewestConnections returns the least that the targets of any gather route bear from the fleet; 0 for no bound.
+func (c *control) fewestConnections() int {
+	view := c.book.View()
+	if view.Config == nil {
+		return 0
+	}
+	fewest := 0
+	for i := range view.Config.Routes {
+		for _, service := range view.Config.Routes[i].Gather {
+			if n := view.Service(service).Connections; n > 0 && (fewest == 0 || n < fewest) {
+				fewest = n
+			}
+		}
+	}
+	return fewest
+}
+
 // link keeps the links that the crew asks for, and one to the reader that this process follows.
 func (c *control) link(now time.Time) {
 	e := c.entry
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,7 +108,8 @@
 	Self       netip.AddrPort // address of Peers, which identifies this process
 	Seeds      []netip.AddrPort
 	DataCentre string
-	CallerPort uint16 // of every entry process
+	Capacity   float64 // of the VM, in cores
+	CallerPort uint16  // of every entry process
 	Names      Names
 	Source     Source
 	Decode     Decode
@@ -143,12 +145,12 @@
 
 // shares are this process's parts of the limits of the fleet.
 type shares struct {
-	size    int // processes
-	young   bool
-	members []string
-	self    string
-	view    *table.View
-	mine    map[string]bool // targets of a large fleet that this process uses; filled as they are asked for
+	size   int // processes
+	young  bool
+	self   netip.AddrPort   // where this process takes requests
+	chosen []netip.AddrPort // the processes that callers are told of
+	view   *table.View
+	mine   map[string]bool // targets of a large fleet that this process uses; filled as they are asked for
 }
 
 const (
@@ -161,12 +163,13 @@
 	connectionsKept  = 0.58
 	connectionsYoung = 0.42
 	predecessorFor   = 10 * time.Second
-	// defConnections is for a service without a bound.
+	// defConnections is for a service without a bound, and more than the searches of one process use.
 	defConnections = 8
 )
 
-// connections returns how many sends to a target this process may have open at a time. If there are more processes
-// than connections, those that come first in an order of the target's own have one each, and the others 0.
+// connections returns how many sends to a target this process may have open at a time. In a fleet that is larger than
+// the connections of its targets, the processes that callers are told of have them all. If there are too few even for
+// these, those that come first in an order of the target's own have one each, and the others 0.
 func (s *shares) connections(t *table.Target) int {
 	limit := s.view.Service(t.Service).Connections
 	if limit <= 0 {
@@ -180,8 +183,11 @@
 		share = connectionsYoung
 	}
 	used := max(int(float64(limit)*share), 1)
-	if used >= s.size {
-		return 1
+	if !slices.Contains(s.chosen, s.self) {
+		return 0
+	}
+	if n := used / len(s.chosen); n > 0 {
+		return min(n, defConnections)
 	}
 	mine, known := s.mine[t.ID]
 	if !known {
@@ -194,12 +200,12 @@
 	return 0
 }
 
-// first reports whether this process is among the first n members in the order of a target.
+// first reports whether this process is among the first n of the chosen ones in the order of a target.
 func (s *shares) first(target string, n int) bool {
-	own := xxhash.Sum64String(target + s.self)
+	own := xxhash.Sum64String(target + s.self.String())
 	before := 0
-	for _, m := range s.members {
-		if xxhash.Sum64String(target+m) < own {
+	for _, addr := range s.chosen {
+		if xxhash.Sum64String(target+addr.String()) < own {
 			before++
 		}
 	}
@@ -245,7 +251,11 @@
 // Addresses returns where callers of a data centre may send requests, in no order. It is empty if no process is known to
 // be ready.
 func (e *Entry) Addresses(dataCentre string) []netip.AddrPort {
-	return e.callable.Load().addresses(dataCentre)
+	d := e.callable.Load()
+	if d == nil {
+		return nil // Run hasn't begun
+	}
+	return d.addresses(dataCentre)
 }
 
 // Snapshot returns the metrics.
--- /dev/null
+++ b/internal/lineup/lineup_test.go
@@ -0,0 +1,140 @@
+package lineup_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/lineup"
+)
+
+// uneven returns a fleet of four data centres, each with two strong and eighteen weak processes.
+func uneven() []lineup.Member {
+	var out []lineup.Member
+	for dc := range 4 {
+		for i := range 20 {
+			m := lineup.Member{ID: fmt.Sprintf("10.%d.0.%d:1", dc, i), DataCentre: fmt.Sprint("dc-", dc), Capacity: 0.2}
+			if i >= 18 {
+				m.Capacity = 0.8
+			}
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func cores(members []lineup.Member, chosen []string) (sum float64) {
+	for _, m := range members {
+		if slices.Contains(chosen, m.ID) {
+			sum += m.Capacity
+		}
+	}
+	return sum
+}
+
+// keep returns the members that f holds for.
+func keep(members []lineup.Member, f func(i int, m lineup.Member) bool) []lineup.Member {
+	var out []lineup.Member
+	for i, m := range members {
+		if f(i, m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Replays a fleet of uneven machines that is larger than the connections of its targets: the strong ones serve, and have
+// more than one connection each.
+func TestStrongestServe(t *testing.T) {
+	fleet := uneven()
+	chosen := lineup.Choose(lineup.Config{}, fleet, 72)
+	assert.Equal(t, len(chosen), 8)
+	assert.Assert(t, cores(fleet, chosen) > 6.3)
+}
+
+// A small fleet, and one whose targets state no bound, serves as a whole.
+func TestAllServe(t *testing.T) {
+	fleet := uneven()
+	assert.Equal(t, len(lineup.Choose(lineup.Config{}, fleet, 0)), 80)
+	assert.Equal(t, len(lineup.Choose(lineup.Config{}, fleet[:9], 26)), 9)
+	assert.Equal(t, len(lineup.Choose(lineup.Config{}, nil, 72)), 0)
+}
+
+// Replays the loss of the strong machines of a data centre: weak ones of the same data centre take over, enough of them.
+func TestWeakTakeOver(t *testing.T) {
+	for lost := 1; lost <= 2; lost++ {
+		fleet := keep(uneven(), func(i int, _ lineup.Member) bool { return i < 20-lost || i >= 20 })
+		chosen := lineup.Choose(lineup.Config{}, fleet, 72)
+		here := keep(fleet, func(_ int, m lineup.Member) bool { return m.DataCentre == "dc-0" })
+		assert.Assert(t, cores(here, chosen) >= 0.3*cores(here, ids(here)), "%d lost: %v", lost, chosen)
+		assert.Assert(t, len(chosen) > 8)
+	}
+}
+
+func ids(members []lineup.Member) (out []string) {
+	for _, m := range members {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// Replays a burst that fills the strong machines: others are named beside them.
+func TestBusyOnesGetHelp(t *testing.T) {
+	fleet := uneven()
+	for i := range fleet {
+		fleet[i].Busy = fleet[i].Capacity > 0.5 && fleet[i].DataCentre == "dc-1"
+	}
+	chosen := lineup.Choose(lineup.Config{}, fleet, 72)
+	assert.Assert(t, len(chosen) > 8+4, "%v", chosen)
+	for i := range fleet {
+		if fleet[i].Busy {
+			assert.Assert(t, slices.Contains(chosen, fleet[i].ID))
+		}
+	}
+}
+
+// Processes agree whatever the order in which they know the others, and a loss moves few others.
+func TestSameChoiceEverywhere(t *testing.T) {
+	fleet := uneven()
+	for i := range fleet {
+		fleet[i].Capacity = 0.4
+	}
+	chosen := lineup.Choose(lineup.Config{}, slices.Clone(fleet), 72)
+	slices.Reverse(fleet)
+	assert.DeepEqual(t, lineup.Choose(lineup.Config{}, slices.Clone(fleet), 72), chosen)
+	rest := slices.DeleteFunc(slices.Clone(fleet), func(m lineup.Member) bool { return m.ID == chosen[0] })
+	next := lineup.Choose(lineup.Config{}, rest, 72)
+	moved := 0
+	for _, id := range next {
+		if !slices.Contains(chosen, id) {
+			moved++
+		}
+	}
+	assert.Assert(t, moved <= 1, "%d others are new", moved)
+}
+
+// Replays a core that is used up for two seconds: the process says so within half a second, and takes it back.
+func TestLag(t *testing.T) {
+	var l lineup.Lag
+	at := func(late time.Duration) (after int) {
+		was := l.Observe(late)
+		for after = 1; after < 100 && l.Observe(late) == was; after++ {
+		}
+		return after
+	}
+	for range 50 {
+		assert.Assert(t, !l.Observe(time.Millisecond))
+	}
+	assert.Assert(t, at(40*time.Millisecond) <= 5)
+	assert.Assert(t, at(time.Millisecond) <= 10)
+	// One long sleep is no load.
+	l = lineup.Lag{}
+	l.Observe(time.Minute)
+	for range 8 {
+		l.Observe(0)
+	}
+	assert.Assert(t, !l.Observe(0))
+}
