Answer in time for what the caller has already spent

Cause: at the goal, less 7 ms, a search is answered with the parts that there are. Such answers all arrived late. Change: internal/travel learns from the time that callers state how much they had spent and how long one way is; the plan's goal and the latest second send follow from it.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -147,6 +147,7 @@
 		c.entry.mu.Lock()
 		c.entry.board.Keep(view.Known)
 		c.entry.rhythm.Keep(view.Known)
+		c.entry.travel.Keep(view.HasRoute)
 		c.entry.mu.Unlock()
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,7 @@
 	"github.com/fuchsiarelay/fuchsiarelay/internal/spend"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/stats"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/travel"
 	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
 )
 
@@ -134,6 +135,7 @@
 	board  *place.Board
 	rhythm *rhythm.Board
 	budget *spend.Budget
+	travel *travel.Board
 	rnd    *rand.Rand
 
 	incarnation uint64
@@ -228,6 +230,7 @@
 		e.board = place.New(place.Config{
 			DataCentre: e.DataCentre, Open: func(id string) bool { return e.pool.Open(id) }, Wait: e.rhythm.Wait,
 		})
+		e.travel = travel.New()
 		e.budget = spend.New(spend.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
 		e.view.Store(table.New().View())
 		e.limits.Store(&shares{size: 1, view: e.view.Load(), mine: map[string]bool{}})
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -44,7 +44,7 @@
 
 func newRunner(e *Entry, c *call, services []string) *runner {
 	r := &runner{entry: e, call: c, replies: map[int]*pool.Reply{}, digests: map[string]bool{}}
-	r.plan = quest.New(quest.Config{}, c.route, services, (*picker)(r), c.began, c.patience)
+	r.plan = quest.New(quest.Config{}, c.route, services, (*picker)(r), c.began, c.caller)
 	r.results = make(chan sent, len(services)*(c.route.Attempts+1)+8)
 	r.base, r.cancel = context.WithDeadline(context.Background(), r.plan.Deadline())
 	return r
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -32,12 +32,12 @@
 
 // call is one request of a caller.
 type call struct {
-	id       string
-	began    time.Time
-	patience time.Duration
-	request  pool.Request // headers of the caller that targets get
-	view     *table.View
-	route    *table.Route
+	id      string
+	began   time.Time
+	caller  quest.Caller
+	request pool.Request // headers of the caller that targets get
+	view    *table.View
+	route   *table.Route
 }
 
 // result is how a call ended.
@@ -69,12 +69,12 @@
 
 // read decodes a request and selects its route. If it reports false, the request is refused with the status.
 func (e *Entry) read(w http.ResponseWriter, r *http.Request) (*call, wire.Status, bool) {
-	c := &call{id: r.Header.Get(e.Names.RequestID), began: time.Now(), patience: defPatience, view: e.view.Load()}
+	c := &call{id: r.Header.Get(e.Names.RequestID), began: time.Now(), caller: quest.Caller{Patience: defPatience}, view: e.view.Load()}
 	fail := func(code codes.Code, text string) (*call, wire.Status, bool) {
 		return c, wire.NewStatus(code, c.id, text), false
 	}
 	if ms, err := strconv.ParseFloat(r.Header.Get(e.Names.Patience), 64); err == nil && ms >= 0 && ms < math.MaxInt32 {
-		c.patience = time.Duration(ms * float64(time.Millisecond))
+		c.caller.Patience = time.Duration(ms * float64(time.Millisecond))
 	}
 	if c.view.Config == nil {
 		_, status, _ := fail(codes.Starting, "no configuration is known yet")
@@ -91,6 +91,9 @@
 		return fail(codes.UnknownService, "no route for this host and path")
 	}
 	c.route = route
+	e.mu.Lock()
+	c.caller.Spent, c.caller.Way = e.travel.Arrived(route.Name, c.caller.Patience)
+	e.mu.Unlock()
 	limit := c.view.Config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = bodyBytes
@@ -289,5 +292,5 @@
 	}
 	e.Log.Every("request "+code.Name(), logEvery).Info("request", "request", c.id, "route", name, "code", int(code), "outcome", code.Name(),
 		"reason", string(res.finish.Reason), "after", string(res.finish.After), "missing", res.finish.Missing, "missed", res.finish.Missed, "sends", res.sends, "config", version,
-		"took_ms", took.Milliseconds(), "patience_ms", c.patience.Milliseconds(), "retry_after_ms", res.finish.RetryAfter.Milliseconds())
+		"took_ms", took.Milliseconds(), "patience_ms", c.caller.Patience.Milliseconds(), "spent_ms", c.caller.Spent.Milliseconds(), "way_us", c.caller.Way.Microseconds(), "retry_after_ms", res.finish.RetryAfter.Milliseconds())
 }
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	p := quest.New(quest.Config{}, route, services, picker, now, patience)
+//	p := quest.New(quest.Config{}, route, services, picker, now, quest.Caller{Patience: 600 * time.Millisecond})
 //	actions := p.Start(now)
 //	actions = p.Done(now, try, reply)   // for each send
 //	actions = p.Tick(now)               // at p.Wake()
@@ -16,8 +16,8 @@
 // Stragglers: with ten shards and targets that pause one time in twenty-five, four requests in ten meet a pause.
 // A send that has taken longer than nearly all do is repeated at another target; the first reply counts.
 //
-// Late shards: at the route's goal, less the time that an answer needs to reach the caller, a gather request that
-// covers the route's least share is answered as it is and says what is missing.
+// Late shards: at the route's goal, less what the caller spent before the request arrived and the time that an answer needs
+// to reach it, a gather request that covers the route's least share is answered as it is and says what is missing.
 //
 // Overloaded shards: a part that is expected to come after the goal would only be left out of the answer then, and its
 // target would work for nothing while others wait there. Up to the number of parts that the route can do without, the
@@ -39,9 +39,10 @@
 
 // Config holds the weights. Zero fields take the defaults.
 type Config struct {
-	AnswerTime time.Duration // that an answer needs from here to the caller
+	AnswerTime time.Duration // that a request and its answer need to and from the caller, where that isn't known
+	WakeTime   time.Duration // that an answer needs to leave this process
 	HedgeFloor time.Duration // no send is backed by a second one sooner
-	HedgeShare float64       // of the route's goal; a send is backed by a second one after it at the latest
+	HedgeShare float64       // of the time until the answer must leave; a send is backed by a second one after it at the latest
 	TrySlow    float64       // share of the sends to shards that are too slow, 0..1
 	WaitStep   time.Duration // a part without a usable target looks again this often
 	DownAfter  time.Duration // Retry-After when targets are out
@@ -51,8 +52,10 @@
 
 // Defaults of Config.
 const (
-	// DefaultAnswerTime is a one-way trip to the caller, and a wake-up and a write on a shared core.
+	// DefaultAnswerTime is a round trip to a caller of the same region, and DefaultWakeTime.
 	DefaultAnswerTime = 7 * time.Millisecond
+	// DefaultWakeTime is a wake-up, a merge and a write on a shared core.
+	DefaultWakeTime = 3 * time.Millisecond
 	// DefaultHedgeFloor is a round trip between data centres and a wake-up at each end.
 	DefaultHedgeFloor = 6 * time.Millisecond
 	// DefaultHedgeShare leaves the second send three times the time of the first.
@@ -126,6 +129,13 @@
 	RetryAfter time.Duration // with a code that says not run
 }
 
+// Caller is what is known of the caller of a request.
+type Caller struct {
+	Patience time.Duration // how long it still waits
+	Spent    time.Duration // what it had spent when it sent the request; 0: nothing, or unknown
+	Way      time.Duration // one way between it and this process; 0: unknown
+}
+
 // Picker chooses targets and keeps the budget.
 type Picker interface {
 	// Pick returns a target for the service and the time that a send to it is expected to take; nil and the reason if
@@ -162,23 +172,24 @@
 
 // Plan is the state of one request. Use New.
 type Plan struct {
-	cfg      Config
-	route    *table.Route
-	picker   Picker
-	now      time.Time // of the latest event
-	deadline time.Time
-	goal     time.Time // zero: none
-	parts    []part
-	tries    []try
-	good     []int // a try for each part, or -1
-	finished bool
-	starting bool // the sends of Start haven't been handed out
+	cfg        Config
+	route      *table.Route
+	picker     Picker
+	now        time.Time // of the latest event
+	deadline   time.Time
+	goal       time.Time     // zero: none
+	hedgeAfter time.Duration // a send is backed by a second one after it at the latest; zero: no bound
+	parts      []part
+	tries      []try
+	good       []int // a try for each part, or -1
+	finished   bool
+	starting   bool // the sends of Start haven't been handed out
 }
 
-// New returns the plan of a request. Services has one entry for each part. Patience is the time that the caller waits;
-// the route's time-out bounds it.
-func New(cfg Config, route *table.Route, services []string, picker Picker, now time.Time, patience time.Duration) *Plan {
+// New returns the plan of a request. Services has one entry for each part. The route's time-out bounds the caller's patience.
+func New(cfg Config, route *table.Route, services []string, picker Picker, now time.Time, caller Caller) *Plan {
 	cfg.AnswerTime = cmp.Or(cfg.AnswerTime, DefaultAnswerTime)
+	cfg.WakeTime = cmp.Or(cfg.WakeTime, DefaultWakeTime)
 	cfg.HedgeFloor = cmp.Or(cfg.HedgeFloor, DefaultHedgeFloor)
 	cfg.HedgeShare = cmp.Or(cfg.HedgeShare, DefaultHedgeShare)
 	cfg.TrySlow = cmp.Or(cfg.TrySlow, DefaultTrySlow)
@@ -186,12 +197,16 @@
 	cfg.DownAfter = cmp.Or(cfg.DownAfter, DefaultDownAfter)
 	cfg.BusyAfter = cmp.Or(cfg.BusyAfter, DefaultBusyAfter)
 	cfg.MinTry = cmp.Or(cfg.MinTry, DefaultMinTry)
+	patience := caller.Patience
 	if route.Timeout > 0 {
 		patience = min(patience, route.Timeout)
 	}
 	p := &Plan{cfg: cfg, route: route, picker: picker, deadline: now.Add(patience), parts: make([]part, len(services)), good: make([]int, len(services))}
 	if route.Goal > 0 && len(route.Gather) > 0 {
-		p.goal = now.Add(max(route.Goal-cfg.AnswerTime, 0))
+		p.goal = now.Add(cfg.room(route.Goal, caller))
+		p.hedgeAfter = time.Duration(cfg.HedgeShare * float64(p.goal.Sub(now)))
+	} else if route.Goal > 0 {
+		p.hedgeAfter = time.Duration(cfg.HedgeShare * float64(route.Goal))
 	}
 	for i, s := range services {
 		p.parts[i] = part{service: s, failed: -1}
@@ -200,6 +215,19 @@
 	return p
 }
 
+// room returns the time in which an answer is still in time for the caller. If there is none left, it is that of a request
+// that has just begun: the caller gets a late answer, with as many parts.
+func (cfg *Config) room(goal time.Duration, caller Caller) time.Duration {
+	answer := cfg.AnswerTime
+	if caller.Way > 0 {
+		answer = 2*caller.Way + cfg.WakeTime
+	}
+	if left := goal - caller.Spent - answer; left > 0 {
+		return left
+	}
+	return max(goal-answer, 0)
+}
+
 // Deadline returns when the request has its final answer at the latest.
 func (p *Plan) Deadline() time.Time { return p.deadline }
 
@@ -424,8 +452,8 @@
 
 func (p *Plan) hedgeAt(part *part) time.Time {
 	late := p.picker.Late()
-	if p.route.Goal > 0 {
-		late = min(late, time.Duration(p.cfg.HedgeShare*float64(p.route.Goal)))
+	if p.hedgeAfter > 0 {
+		late = min(late, p.hedgeAfter)
 	}
 	return part.sentAt.Add(max(late, p.cfg.HedgeFloor))
 }
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -83,7 +83,7 @@
 	if len(services) == 0 {
 		services = []string{"s"}
 	}
-	return New(Config{}, r, services, p, at(0), time.Second)
+	return New(Config{}, r, services, p, at(0), Caller{Patience: time.Second})
 }
 
 // A request that may run once must not be sent again when the first target may have run it.
@@ -170,6 +170,31 @@
 	assert.Equal(t, f.Reason, ReasonGoal)
 }
 
+// Replays callers 3 ms away with a goal of 80 ms, one shard of ten that doesn't answer: the answer leaves in time for each of
+// them, whatever it has spent on asking for addresses and on connecting. A caller who can't be served in time any more gets as many
+// parts as one who has just come.
+func TestAnswerInTimeForTheCaller(t *testing.T) {
+	const way = 3 * time.Millisecond
+	for _, spent := range []time.Duration{0, 2 * way, 5 * way, 200 * time.Millisecond} {
+		r, k := gather(10, 0.89)
+		p := New(Config{}, r, r.Gather, k, at(0), Caller{Patience: time.Second, Spent: spent, Way: way})
+		p.Start(at(0))
+		for i := range 9 {
+			p.Done(at(10), i, place.Good)
+		}
+		ms := 0
+		for ; len(p.Tick(at(ms))) == 0 || !p.Finished(); ms++ {
+			assert.Assert(t, ms < 800, "no answer")
+		}
+		left := time.Duration(ms)*time.Millisecond + 2*way // at the caller, since it sent the request
+		if spent < r.Goal {
+			left += spent
+		}
+		assert.Assert(t, left <= r.Goal, "%s spent: the answer arrives after %s", spent, left)
+		assert.Assert(t, left >= r.Goal-10*time.Millisecond, "%s spent: the answer arrives after %s, too early", spent, left)
+	}
+}
+
 // Below the least share there is no answer at the goal; the missing part still counts when it comes late.
 func TestNoAnswerBelowTheLeastShare(t *testing.T) {
 	r, k := gather(10, 0.89)
--- a/internal/quest/sim_test.go
+++ b/internal/quest/sim_test.go
@@ -167,7 +167,7 @@
 	if s.plain {
 		planned.Goal = 0
 	}
-	plan := New(Config{AnswerTime: time.Millisecond}, &planned, services, p, s.now, patience)
+	plan := New(Config{AnswerTime: time.Millisecond}, &planned, services, p, s.now, Caller{Patience: patience})
 	r := &simRequest{sim: s, front: f, plan: plan, route: route, began: s.now, work: work}
 	r.do(plan.Start(s.now))
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -144,7 +144,7 @@
 	if b.view != nil {
 		return b.view
 	}
-	v := &View{hosts: map[string][]*Route{}, services: map[string]Service{}, targets: map[string][]*Target{}, known: map[string]bool{}}
+	v := &View{hosts: map[string][]*Route{}, services: map[string]Service{}, targets: map[string][]*Target{}, known: map[string]bool{}, routes: map[string]bool{}}
 	for _, t := range b.targets {
 		v.known[t.ID] = true
 		if t.Leaving || b.excluded[t.DataCentre] {
@@ -160,6 +160,7 @@
 		for i := range b.config.Routes {
 			r := &b.config.Routes[i]
 			v.hosts[r.Host] = append(v.hosts[r.Host], r)
+			v.routes[r.Name] = true
 		}
 		for _, routes := range v.hosts {
 			slices.SortStableFunc(routes, func(x, y *Route) int { return len(y.Prefix) - len(x.Prefix) })
@@ -179,6 +180,7 @@
 	services map[string]Service
 	targets  map[string][]*Target
 	known    map[string]bool
+	routes   map[string]bool
 }
 
 // Match returns the route with the longest prefix of the path among those of the host.
@@ -197,5 +199,8 @@
 // Targets returns the targets of a service that take new requests, by ID. The slice must not be changed.
 func (v *View) Targets(service string) []*Target { return v.targets[service] }
 
+// HasRoute reports whether a route of this name is in force.
+func (v *View) HasRoute(name string) bool { return v.routes[name] }
+
 // Known reports whether the target is listed in any state.
 func (v *View) Known(id string) bool { return v.known[id] }
--- /dev/null
+++ b/internal/travel/travel_test.go
@@ -0,0 +1,61 @@
+package travel_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/travel"
+)
+
+const ms = time.Millisecond
+
+// Replays callers 3 ms away: some keep connections, most connect anew, and some ask for addresses before.
+func TestSpent(t *testing.T) {
+	b := travel.New()
+	for range 20 {
+		b.Arrived("search", 600*ms)
+		b.Arrived("search", 593*ms)
+		b.Arrived("search", 585*ms)
+	}
+	for patience, want := range map[time.Duration]time.Duration{600 * ms: 0, 593 * ms: 7 * ms, 585 * ms: 15 * ms} {
+		spent, way := b.Arrived("search", patience)
+		assert.Equal(t, spent, want)
+		assert.Equal(t, way, 3500*time.Microsecond)
+	}
+	// Another attempt after a failure, and a caller with less time, have not spent it on the way here.
+	spent, _ := b.Arrived("search", 300*ms)
+	assert.Equal(t, spent, time.Duration(0))
+	// Routes don't share what they learn.
+	spent, way := b.Arrived("order", 100*ms)
+	assert.Equal(t, spent, time.Duration(0))
+	assert.Equal(t, way, time.Duration(0))
+}
+
+// One caller that waits very long doesn't spoil the estimates for the others for good.
+func TestOddCaller(t *testing.T) {
+	b := travel.New()
+	b.Arrived("search", time.Minute)
+	spent, _ := b.Arrived("search", 593*ms)
+	assert.Equal(t, spent, time.Duration(0))
+	for range 300 {
+		b.Arrived("search", 600*ms)
+	}
+	for range 300 {
+		b.Arrived("search", 600*ms)
+	}
+	spent, _ = b.Arrived("search", 593*ms)
+	assert.Equal(t, spent, 7*ms)
+}
+
+func TestKeep(t *testing.T) {
+	b := travel.New()
+	b.Arrived("old", 600*ms)
+	b.Arrived("new", 600*ms)
+	b.Keep(func(name string) bool { return name == "new" })
+	spent, _ := b.Arrived("old", 593*ms)
+	assert.Equal(t, spent, time.Duration(0))
+	spent, _ = b.Arrived("new", 593*ms)
+	assert.Equal(t, spent, 7*ms)
+}
