Give most of the reserve of retries to the named processes

Ruled out: dividing by the named ones at once, which exceeds the reserve when others are named (sum 1.8 of it in the model). Change: lineup.Reserve; the named processes share 0.8, all share 0.2, and a part is the least of the last window. A model test draws histories and adds up what all may use in any window.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -49,6 +49,7 @@
 	reportedAt time.Time
 	packed     packer
 	lag        lineup.Lag
+	reserve    lineup.Reserve // of retries
 	tickedAt   time.Time
 	busy       bool        // has no room for more requests
 	pauses     []pauseNews // to tell peers of
@@ -72,7 +73,7 @@
 		seeds[i] = s.String()
 	}
 	c := &control{
-		entry: e, began: now, packed: packer{}, pauseRate: newPauseRate(), events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
+		entry: e, began: now, packed: packer{}, reserve: lineup.Reserve{Window: crew.DefaultShrink}, pauseRate: newPauseRate(), events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
 		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.Self.String(), e.incarnation, seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
@@ -185,12 +186,17 @@
 		// Callers who keep an old address are served as before until the end.
 		next.chosen = old.chosen
 	}
+	fleet := lineup.Fleet{Size: next.size, Named: len(next.chosen), Chosen: slices.Contains(next.chosen, next.self)}
+	fleet.Others = len(e.callable.Load().list) - len(e.callable.Load().chosen())
+	part := c.reserve.Part(now, fleet)
+	e.mu.Lock()
+	e.budget.SetPart(part)
+	e.mu.Unlock()
 	if old.size == next.size && old.young == next.young && old.view == view && slices.Equal(old.chosen, next.chosen) {
 		return
 	}
 	e.limits.Store(next)
 	e.mu.Lock()
-	e.budget.SetSize(next.size)
 	e.board.SetProbers(next.size)
 	e.mu.Unlock()
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -291,6 +291,6 @@
 		version = c.view.Config.Version
 	}
 	e.Log.Every("request "+code.Name(), logEvery).Info("request", "request", c.id, "route", name, "code", int(code), "outcome", code.Name(),
-		"reason", string(res.finish.Reason), "after", string(res.finish.After), "missing", res.finish.Missing, "missed", res.finish.Missed, "sends", res.sends, "config", version,
+		"reason", string(res.finish.Reason), "after", string(res.finish.After), "missing", res.finish.Missing, "missed", res.finish.Missed, "sends", res.sends, "denied", res.finish.Denied, "config", version,
 		"took_ms", took.Milliseconds(), "patience_ms", c.caller.Patience.Milliseconds(), "spent_ms", c.caller.Spent.Milliseconds(), "way_us", c.caller.Way.Microseconds(), "retry_after_ms", res.finish.RetryAfter.Milliseconds())
 }
--- /dev/null
+++ b/internal/lineup/part_test.go
@@ -0,0 +1,95 @@
+package lineup_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/lineup"
+)
+
+const window = 10 * time.Second
+
+// history draws which processes of a fleet are named in each of 60 seconds, and returns the parts by second and process.
+func history(t *rapid.T, size int) [][]float64 {
+	reserves := make([]lineup.Reserve, size)
+	for i := range reserves {
+		reserves[i].Window = window
+	}
+	start := time.Unix(1000, 0)
+	parts := make([][]float64, 60)
+	var chosen []bool
+	for second := range parts {
+		if second == 0 || rapid.IntRange(0, 5).Draw(t, "change") == 0 {
+			chosen = rapid.SliceOfN(rapid.Bool(), size, size).Draw(t, "chosen")
+		}
+		named := 0
+		for _, c := range chosen {
+			if c {
+				named++
+			}
+		}
+		parts[second] = make([]float64, size)
+		for i := range reserves {
+			f := lineup.Fleet{Size: size, Named: named, Others: size - named, Chosen: chosen[i]}
+			parts[second][i] = reserves[i].Part(start.Add(time.Duration(second)*time.Second), f)
+		}
+	}
+	return parts
+}
+
+// most returns what the processes may use together in a window that ends with a second.
+func most(parts [][]float64, end int) (sum float64) {
+	for i := range parts[end] {
+		used := 0.0
+		for s := max(0, end-int(window/time.Second)+1); s <= end; s++ {
+			used = max(used, parts[s][i])
+		}
+		sum += used
+	}
+	return sum
+}
+
+// Whatever processes are named one after the other, what they may use together in any window is within the whole.
+func TestPartsStayWithinTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := history(t, rapid.IntRange(1, 12).Draw(t, "size"))
+		for end := range parts {
+			assert.Assert(t, most(parts, end) <= 1.000001, "%f up to second %d", most(parts, end), end)
+		}
+	})
+}
+
+// The named processes of a fleet share most of it; in a fleet that serves as a whole, all have the same.
+func TestParts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var named, other, small lineup.Reserve
+	for _, r := range []*lineup.Reserve{&named, &other, &small} {
+		r.Window = window
+	}
+	part := func(r *lineup.Reserve, f lineup.Fleet) (p float64) {
+		for range 25 {
+			p = r.Part(now, f)
+			now = now.Add(time.Second)
+		}
+		return p
+	}
+	in, out := lineup.Fleet{Size: 80, Named: 8, Others: 72, Chosen: true}, lineup.Fleet{Size: 80, Named: 8, Others: 72}
+	assert.Equal(t, part(&named, in), 0.1)
+	assert.Equal(t, part(&other, out), 0.0025)
+	// A fleet that serves as a whole follows its size at once, also after a start in which it isn't known.
+	var young lineup.Reserve
+	young.Window = window
+	young.Part(now, lineup.Fleet{Size: 64})
+	assert.Equal(t, young.Part(now.Add(time.Second), lineup.Fleet{Size: 8, Named: 8, Chosen: true}), 0.125)
+	// A process that has gone still counts in a small fleet, and doesn't change how it is divided.
+	assert.Equal(t, part(&small, lineup.Fleet{Size: 8, Named: 7, Chosen: true}), 0.125)
+	assert.Equal(t, part(&small, lineup.Fleet{Size: 8, Named: 8, Chosen: true}), 0.125)
+	// One that is no longer named shrinks at once, and grows a window after it is named again.
+	assert.Equal(t, named.Part(now, out), 0.0025)
+	assert.Equal(t, named.Part(now.Add(time.Second), in), 0.0025)
+	assert.Equal(t, named.Part(now.Add(window), in), 0.0025)
+	assert.Equal(t, named.Part(now.Add(window+time.Second), in), 0.1)
+}
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -126,6 +126,7 @@
 	Tries      []int  // whose replies make the answer, one for each covered part
 	Missing    int
 	Missed     []string      // some of the missing parts, each with the reason: "shard-07:no_usable_target"
+	Denied     int           // sends that the budget refused
 	RetryAfter time.Duration // with a code that says not run
 }
 
@@ -183,6 +184,7 @@
 	tries      []try
 	good       []int // a try for each part, or -1
 	finished   bool
+	denied     int  // sends that the budget refused
 	starting   bool // the sends of Start haven't been handed out
 }
 
@@ -259,6 +261,7 @@
 
 func (p *Plan) finish(out []Action, f *Finish) []Action {
 	p.finished = true
+	f.Denied = p.denied
 	for i := range p.parts {
 		part := &p.parts[i]
 		if part.done {
@@ -317,6 +320,7 @@
 		return out // a second send would come too late as well
 	}
 	if again && !p.picker.Repeat(now, part.service, part.open == 0) {
+		p.denied++
 		p.lose(part, ReasonBudget)
 		return out
 	}
--- a/internal/quest/sim_test.go
+++ b/internal/quest/sim_test.go
@@ -139,7 +139,7 @@
 	s := &sim{now: simStart, rnd: rand.New(rand.NewPCG(seed, seed)), targets: map[string]*simTarget{}, byName: map[string][]*table.Target{}}
 	for range fronts {
 		f := &simFront{sim: s, board: place.New(place.Config{DataCentre: "here"}), budget: spend.New(spend.Config{Ratio: 0.2, Reserve: 56})}
-		f.budget.SetSize(fronts)
+		f.budget.SetPart(1 / float64(fronts))
 		s.fronts = append(s.fronts, f)
 	}
 	for _, name := range services {
--- a/internal/spend/spend.go
+++ b/internal/spend/spend.go
@@ -3,12 +3,12 @@
 // # Usage
 //
 //	b := spend.New(spend.Config{Ratio: 0.2, Reserve: 56, Window: 10 * time.Second})
-//	b.SetSize(n)                       // processes that share the reserve
+//	b.SetPart(1.0 / 8)                 // this process's part of the reserve
 //	b.Sent(now, "desk-01")             // the first send of a request to a service
 //	if b.Take(now, "desk-01", false) { ... }  // one more send to it
 //
 // The budget of a service is Ratio times the first sends in the window, plus a share of Reserve. The ratio needs no
-// agreement, since the sums of all processes keep it if each does; the reserve is divided by the number of processes.
+// agreement, since the sums of all processes keep it if each does; the reserve is divided among the processes (lineup.Reserve).
 // Each process keeps Margin of its part back for the differences between its window and any other.
 //
 // # Load pattern
@@ -50,7 +50,7 @@
 // Budget is the state of one process. Use New. It is not safe for concurrent use.
 type Budget struct {
 	cfg      Config
-	size     int
+	part     float64 // of the reserve
 	accounts map[string]*account
 	epoch    time.Time
 }
@@ -60,11 +60,11 @@
 	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
 	cfg.Margin = cmp.Or(cfg.Margin, DefaultMargin)
 	cfg.Kept = cmp.Or(cfg.Kept, DefaultKept)
-	return &Budget{cfg: cfg, size: 1, accounts: map[string]*account{}}
+	return &Budget{cfg: cfg, part: 1, accounts: map[string]*account{}}
 }
 
-// SetSize sets the number of processes that share the reserve.
-func (b *Budget) SetSize(n int) { b.size = max(n, 1) }
+// SetPart sets this process's part of the reserve, 0..1.
+func (b *Budget) SetPart(part float64) { b.part = part }
 
 func (b *Budget) account(now time.Time, service string) *account {
 	if b.epoch.IsZero() {
@@ -113,7 +113,7 @@
 		first += a.first[i]
 		used += a.more[i]
 	}
-	return (b.cfg.Ratio*first + b.cfg.Reserve/float64(b.size)) * (1 - b.cfg.Margin), used
+	return (b.cfg.Ratio*first + b.cfg.Reserve*b.part) * (1 - b.cfg.Margin), used
 }
 
 // Take takes one more send from the budget; it reports false if none is left. Failed says that the send replaces one
--- a/internal/spend/spend_test.go
+++ b/internal/spend/spend_test.go
@@ -12,7 +12,7 @@
 
 func TestReserveIsShared(t *testing.T) {
 	b := New(Config{Ratio: 0.2, Reserve: 56})
-	b.SetSize(8)
+	b.SetPart(1.0 / 8)
 	n := 0
 	for b.Take(start, "s", true) {
 		n++
@@ -51,7 +51,7 @@
 		fleet := make([]*Budget, size)
 		for i := range fleet {
 			fleet[i] = New(Config{Ratio: 0.2, Reserve: 56, Window: window})
-			fleet[i].SetSize(size)
+			fleet[i].SetPart(1 / float64(size))
 		}
 		type event struct {
 			at   time.Time
