Replay a large fleet with all and with the named processes

Cause: the gain of naming the strongest processes had a test of the choice only, not of the load that it answers.

--- a/internal/quest/replay_test.go
+++ b/internal/quest/replay_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
 )
 
@@ -95,3 +98,49 @@
 	after, _ := load(t, shape, 150, 10*time.Second, 14*time.Second)
 	assert.Assert(t, after > 0.97, "after the slow spell %v", after)
 }
+
+// A fleet of 80 processes at targets that bear 72 connections each, which pause now and then, and of which one
+// in six is five times slower for some seconds. If callers use all processes, half of these have a connection to a target and
+// each sees it about once a second; if they use eight, each has five and notices at once.
+func TestReplayNamedProcesses(t *testing.T) {
+	value := func(fronts int) float64 {
+		s := newSim(7, fronts, shards(36), 4)
+		const keep = 41 // connections of a target that the fleet keeps
+		for i, f := range s.fronts {
+			f.keeps, f.idle = map[string]int{}, map[string]int{}
+			for j, id := range slices.Sorted(maps.Keys(s.targets)) {
+				f.keeps[id] = keep / fronts
+				if (i+j)%fronts < keep%fronts {
+					f.keeps[id]++
+				}
+				f.idle[id] = f.keeps[id]
+			}
+			f.board = place.New(place.Config{DataCentre: "here", Open: func(id string) bool { return f.idle[id] > 0 }})
+		}
+		for i, id := range slices.Sorted(maps.Keys(s.targets)) {
+			phase := time.Duration(i*977%2400) * time.Millisecond
+			s.targets[id].paused = func(at time.Duration) time.Duration {
+				return max(100*time.Millisecond-(at+phase)%(2400*time.Millisecond), 0)
+			}
+			if i%6 == 0 {
+				s.targets[id].slow = func(at time.Duration) float64 {
+					if at > 2*time.Second && at < 8*time.Second {
+						return 5
+					}
+					return 1
+				}
+			}
+		}
+		route := gatherRoute(36)
+		route.Goal = 50 * time.Millisecond
+		route.Least = 0.95
+		work := s.logNormal(7500*time.Microsecond, 0.35)
+		s.poisson(func(time.Duration) float64 { return 100 }, 12*time.Second, func() { s.request(route, 800*time.Millisecond, work) })
+		s.run(14 * time.Second)
+		return s.value(time.Second, 12*time.Second)
+	}
+	all, named := value(80), value(8)
+	t.Logf("80 processes %.3f, 8 named ones %.3f", all, named)
+	assert.Assert(t, named > 0.8, "value %v", named) // the aim for the days with trouble
+	assert.Assert(t, named > all+0.05, "value %v with 8 processes, %v with 80", named, all)
+}
--- a/internal/quest/sim_test.go
+++ b/internal/quest/sim_test.go
@@ -123,8 +123,32 @@
 	sim    *sim
 	board  *place.Board
 	budget *spend.Budget
+	keeps  map[string]int // connections to each target that it may keep; nil: sends cost no connection
+	idle   map[string]int
 }
 
+// connect takes a connection to a target, and returns the time until it can be used.
+func (f *simFront) connect(id string) time.Duration {
+	switch {
+	case f.keeps == nil:
+		return 0
+	case f.idle[id] > 0:
+		f.idle[id]--
+		return 0
+	}
+	return 2*simOneWay + simConnect
+}
+
+// release gives a connection back, or closes it if enough are kept.
+func (f *simFront) release(id string) {
+	if f.idle[id] < f.keeps[id] {
+		f.idle[id]++
+	}
+}
+
+// simConnect is what a target spends on a new connection.
+const simConnect = 6 * time.Millisecond
+
 // simEnd is how one request ended.
 type simEnd struct {
 	route *table.Route
@@ -212,10 +236,11 @@
 	r.front.board.Sent(sent, a.Target.ID)
 	target := s.targets[a.Target.ID]
 	work := r.work()
-	s.after(simOneWay, func() {
+	s.after(r.front.connect(a.Target.ID)+simOneWay, func() {
 		target.take(work, func(o place.Outcome) {
 			load := target.load()
 			s.after(simOneWay, func() {
+				r.front.release(a.Target.ID)
 				r.front.board.Done(s.now, a.Target.ID, r.route.Name, place.Reply{Outcome: o, Latency: s.now.Sub(sent), Load: load})
 				r.do(r.plan.Done(s.now, a.Try, o))
 			})
