Stand-in: a crashing request ends when its caller leaves

By a trace of the connection, the third was one that its dispatcher had given up 28 ms before: the stand-in target went on with a crashing request after its caller had left, which no other work of it does and a dispatcher can't know. It also crashed the next incarnation if a restart came first. Ruled out: the hold of a canceled call's slot (newConnNotice had passed), the cancellation on a new connection (the connection was an old one). Before: TestPoisonIsCanceled fails.

--- a/internal/emul/emul_test.go
+++ b/internal/emul/emul_test.go
@@ -340,3 +340,32 @@
 	assert.Equal(t, tg.OrdersByToken()["t"], 1)
 	assert.Equal(t, tg.Runs()[0].Outcome, emul.Lost)
 }
+
+// A request that would crash its target ends like any other when its caller leaves, and frees the slot; one that is lost in
+// a restart doesn't crash the next incarnation as well.
+func TestPoisonIsCanceled(t *testing.T) {
+	tg := &emul.Target{Mean: second}
+	bubble(t, tg, func(r rig) {
+		_, err := r.sub(r.ctx, "q")
+		assert.NilError(t, err)
+		tg.Poison("bad")
+		ctx, cancel := context.WithTimeout(r.ctx, second/10)
+		defer cancel()
+		_, err = r.sub(ctx, "bad")
+		assert.Equal(t, kindOf(err), target.TimedOut)
+		time.Sleep(time.Millisecond)
+		_, err = r.sub(r.ctx, "q")
+		assert.NilError(t, err)
+		assert.Equal(t, len(tg.Overloads()), 0)
+		assert.Equal(t, tg.Stamp().Incarnation, uint64(1))
+
+		go func() { _, _ = r.sub(r.ctx, "bad") }()
+		time.Sleep(second / 10)
+		tg.Crash()
+		time.Sleep(second)
+		assert.Equal(t, tg.Stamp().Incarnation, uint64(2))
+		_, err = r.sub(r.ctx, "bad")
+		assert.Equal(t, kindOf(err), target.Broken)
+		assert.Equal(t, tg.Stamp().Incarnation, uint64(3))
+	})
+}
--- a/internal/emul/target.go
+++ b/internal/emul/target.go
@@ -339,8 +339,11 @@
 		return false
 	}
 	if t.poisoned(run) {
-		sleep(service/2, life)
-		t.Crash()
+		if outcome := t.wait(r, run, life, service/2, 0); outcome == Done {
+			t.Crash()
+		} else {
+			t.end(run, outcome)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	outcome := t.wait(r, run, life, service, time.Duration(deadlineMS)*time.Millisecond)
