lineup: usage of all parts, source of a threshold; shorter lines

Cause: read as a newcomer; the package comment named one of three parts, and a threshold was called a quarter where it is a third. Ruled out: any change of behaviour; comments and line breaks only.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -73,8 +73,10 @@
 		seeds[i] = s.String()
 	}
 	c := &control{
-		entry: e, began: now, packed: packer{}, reserve: lineup.Reserve{Window: crew.DefaultShrink}, pauseRate: newPauseRate(), events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}), book: table.New(),
-		facts: facts.New(facts.Config{}), crew: crew.New(crew.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.Self.String(), e.incarnation, seeds, now),
+		entry: e, began: now, packed: packer{}, pauseRate: newPauseRate(),
+		events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}),
+		book: table.New(), facts: facts.New(facts.Config{}), reserve: lineup.Reserve{Window: crew.DefaultShrink},
+		crew: crew.New(crew.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.Self.String(), e.incarnation, seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
 	return c
--- a/internal/lineup/lineup.go
+++ b/internal/lineup/lineup.go
@@ -1,8 +1,11 @@
-// Package lineup chooses which entry processes callers are told of. It is pure.
+// Package lineup chooses which entry processes callers are told of, and divides the reserves of the fleet among these and
+// the others. It is pure.
 //
 // # Usage
 //
 //	chosen := lineup.Choose(lineup.Config{}, members, connections)
+//	busy := lag.Observe(late)                          // for each tick; Member.Busy of this process
+//	part := reserve.Part(now, lineup.Fleet{Size: 80, Named: len(chosen), Others: 72, Chosen: true})
 //
 // All processes that know the same members choose the same ones.
 //
@@ -99,7 +102,7 @@
 const (
 	// lagKeep is the weight of the past; with ten observations a second, a load of half a second shows.
 	lagKeep = 0.8
-	// busyAbove is a quarter of the shortest goals of callers.
+	// busyAbove is a third of the shortest goals of callers, 40 to 50 ms.
 	busyAbove = 15 * time.Millisecond
 	// freeBelow is above the scheduling delay of a process that has room on a fraction of a core.
 	freeBelow = 6 * time.Millisecond
