Choose the named processes only when what they depend on has changed

Cause: read again as a whole. publishAddresses sorted and hashed all processes, and went through all routes, at each tick of 100 ms and each event, to find what hardly ever changes. Whether this process is named was searched for at each choice of a target. The named addresses were collected twice for each publication, and marked beside the list. Change: the directory is compared by what the choice depends on before it is made; the least connections of the shards belong to the view, which is built once a change; shares say whether this process is named. In tests, one accept loop and one set-up of a fleet in place of copies. Ruled out: one client for pkg/plat and platform (other limits, statuses and errors: not the same logic); removing spend.Return, place.Stalled and place.Down, whose tests would go with them.

--- a/internal/entry/address.go
+++ b/internal/entry/address.go
@@ -17,34 +17,36 @@
 	dataCentre string
 	capacity   float64 // of its VM, in cores
 	busy       bool
-	chosen     bool // callers are told of it
 }
 
 // directory is what callers are told.
 type directory struct {
-	list     []address
-	doubtful bool // most processes have disappeared at once; the links of this one may be at fault
+	list        []address // of all processes that take requests
+	connections int       // that each target bears from the fleet
+	doubtful    bool      // most processes have disappeared at once; the links of this one may be at fault
+	chosen      []address // those of list that callers are told of, unless it is doubtful
 }
 
-// choose marks the processes that callers are told of. Connections is what each target bears from the fleet.
-func (d *directory) choose(connections int) {
+// choose sets chosen from the other fields.
+func (d *directory) choose() {
 	members := make([]lineup.Member, len(d.list))
 	for i, a := range d.list {
 		members[i] = lineup.Member{ID: a.addr.String(), DataCentre: a.dataCentre, Capacity: a.capacity, Busy: a.busy}
 	}
-	chosen := lineup.Choose(lineup.Config{}, members, connections)
-	for i := range d.list {
-		_, d.list[i].chosen = slices.BinarySearch(chosen, members[i].ID)
+	chosen := lineup.Choose(lineup.Config{}, members, d.connections)
+	d.chosen = nil
+	for i, a := range d.list {
+		if _, ok := slices.BinarySearch(chosen, members[i].ID); ok {
+			d.chosen = append(d.chosen, a)
+		}
 	}
 }
 
-// chosen returns the addresses that callers are told of.
-func (d *directory) chosen() []netip.AddrPort {
+// named returns the addresses of the chosen processes.
+func (d *directory) named() []netip.AddrPort {
 	var out []netip.AddrPort
-	for _, a := range d.list {
-		if a.chosen {
-			out = append(out, a.addr)
-		}
+	for _, a := range d.chosen {
+		out = append(out, a.addr)
 	}
 	return out
 }
@@ -52,11 +54,12 @@
 // addresses returns the addresses for callers of a data centre. A process nearby saves a connection and a request two
 // trips between data centres. While the own links may be at fault, all are named: those nearby may be cut off as well.
 func (d *directory) addresses(dataCentre string) []netip.AddrPort {
+	from := d.chosen
+	if d.doubtful {
+		from = d.list
+	}
 	var near, all []netip.AddrPort
-	for _, a := range d.list {
-		if !a.chosen && !d.doubtful {
-			continue
-		}
+	for _, a := range from {
 		all = append(all, a.addr)
 		if a.dataCentre == dataCentre {
 			near = append(near, a.addr)
--- a/internal/entry/address_test.go
+++ b/internal/entry/address_test.go
@@ -8,11 +8,11 @@
 )
 
 func TestAddressesNearby(t *testing.T) {
-	d := &directory{}
+	d := &directory{connections: 72}
 	for i, dc := range []string{"a", "a", "a", "b", "c", "c"} {
 		d.list = append(d.list, address{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), dataCentre: dc, capacity: 0.4})
 	}
-	d.choose(72)
+	d.choose()
 	assert.Equal(t, len(d.addresses("a")), 3)
 	assert.Equal(t, len(d.addresses("c")), 2)
 	assert.Equal(t, len(d.addresses("b")), 6) // one alone isn't enough
@@ -26,7 +26,7 @@
 // In a fleet that is larger than the connections of its targets, callers are told of the strong processes nearby, unless
 // the own links may be at fault.
 func TestAddressesOfStrongProcesses(t *testing.T) {
-	d := &directory{}
+	d := &directory{connections: 72}
 	for i := range 80 {
 		a := address{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), dataCentre: []string{"a", "b"}[i%2], capacity: 0.2}
 		if i < 12 {
@@ -34,7 +34,7 @@
 		}
 		d.list = append(d.list, a)
 	}
-	d.choose(72)
+	d.choose()
 	got := d.addresses("b")
 	assert.Assert(t, len(got) >= 2 && len(got) <= 6, "%v", got)
 	for _, addr := range got {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -176,40 +176,32 @@
 // publishShares divides the limits of the fleet anew if the processes that share them have changed.
 func (c *control) publishShares(now time.Time, view *table.View) {
 	e := c.entry
-	old := e.limits.Load()
-	next := &shares{
-		size: startSize, young: now.Sub(c.began) < predecessorFor, self: netip.AddrPortFrom(e.Self.Addr(), e.CallerPort),
-		chosen: e.callable.Load().chosen(), view: view, mine: map[string]bool{},
-	}
+	old, d := e.limits.Load(), e.callable.Load()
+	size, chosen := startSize, d.named()
 	if c.crew.Settled(now) {
-		next.size = c.crew.Size(now)
+		size = c.crew.Size(now)
 	}
 	if e.stopping.Load() {
 		// Callers who keep an old address are served as before until the end.
-		next.chosen = old.chosen
+		chosen = old.chosen
 	}
-	fleet := lineup.Fleet{Size: next.size, Named: len(next.chosen), Chosen: slices.Contains(next.chosen, next.self)}
-	fleet.Others = len(e.callable.Load().list) - len(e.callable.Load().chosen())
-	part := c.reserve.Part(now, fleet)
+	next := newShares(size, now.Sub(c.began) < predecessorFor, e.callersAddr(), chosen, view)
+	part := c.reserve.Part(now, lineup.Fleet{Size: size, Named: len(chosen), Others: len(d.list) - len(d.chosen), Chosen: next.named})
 	e.mu.Lock()
 	e.budget.SetPart(part)
+	e.board.SetProbers(size)
 	e.mu.Unlock()
-	if old.size == next.size && old.young == next.young && old.view == view && slices.Equal(old.chosen, next.chosen) {
-		return
+	if old.size != next.size || old.young != next.young || old.view != view || !slices.Equal(old.chosen, next.chosen) {
+		e.limits.Store(next)
 	}
-	e.limits.Store(next)
-	e.mu.Lock()
-	e.board.SetProbers(next.size)
-	e.mu.Unlock()
 }
 
+// publishAddresses works out anew whom callers are told of if what it depends on has changed.
 func (c *control) publishAddresses() {
 	e := c.entry
-	next := &directory{doubtful: c.crew.Doubtful()}
+	next := &directory{connections: c.book.View().ShardConnections(), doubtful: c.crew.Doubtful()}
 	if e.Ready() {
-		next.list = append(next.list, address{
-			addr: netip.AddrPortFrom(e.Self.Addr(), e.CallerPort), dataCentre: e.DataCentre, capacity: e.Capacity, busy: c.busy,
-		})
+		next.list = append(next.list, address{addr: e.callersAddr(), dataCentre: e.DataCentre, capacity: e.Capacity, busy: c.busy})
 	}
 	for _, id := range c.crew.Callable() {
 		if addr, err := netip.ParseAddrPort(id); err == nil {
@@ -219,29 +211,17 @@
 			})
 		}
 	}
-	next.choose(c.fewestConnections())
-	if old := e.callable.Load(); !slices.Equal(old.list, next.list) || old.doubtful != next.doubtful {
-		e.Log.Info("addresses for callers changed", "before", len(old.list), "now", len(next.list), "doubtful", next.doubtful,
-			"chosen", next.chosen(), "busy", c.busy)
-		e.callable.Store(next)
+	old := e.callable.Load()
+	same := slices.Equal(old.list, next.list) && old.doubtful == next.doubtful
+	if same && old.connections == next.connections {
+		return
 	}
-}
-
-// fewestConnections returns the least that the targets of any gather route bear from the fleet; 0 for no bound.
-func (c *control) fewestConnections() int {
-	view := c.book.View()
-	if view.Config == nil {
-		return 0
-	}
-	fewest := 0
-	for i := range view.Config.Routes {
-		for _, service := range view.Config.Routes[i].Gather {
-			if n := view.Service(service).Connections; n > 0 && (fewest == 0 || n < fewest) {
-				fewest = n
-			}
-		}
+	next.choose()
+	e.callable.Store(next)
+	if !same || !slices.Equal(old.chosen, next.chosen) {
+		e.Log.Info("addresses for callers changed", "before", len(old.list), "now", len(next.list), "doubtful", next.doubtful,
+			"chosen", next.named(), "busy", c.busy)
 	}
-	return fewest
 }
 
 // link keeps the links that the crew asks for, and one to the reader that this process follows.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -151,6 +151,7 @@
 	young  bool
 	self   netip.AddrPort   // where this process takes requests
 	chosen []netip.AddrPort // the processes that callers are told of
+	named  bool             // this is one of them
 	view   *table.View
 	mine   map[string]bool // targets of a large fleet that this process uses; filled as they are asked for
 }
@@ -169,6 +170,10 @@
 	defConnections = 8
 )
 
+func newShares(size int, young bool, self netip.AddrPort, chosen []netip.AddrPort, view *table.View) *shares {
+	return &shares{size: size, young: young, self: self, chosen: chosen, named: slices.Contains(chosen, self), view: view, mine: map[string]bool{}}
+}
+
 // connections returns how many sends to a target this process may have open at a time. In a fleet that is larger than
 // the connections of its targets, the processes that callers are told of have them all. If there are too few even for
 // these, those that come first in an order of the target's own have one each, and the others 0.
@@ -185,7 +190,7 @@
 		share = connectionsYoung
 	}
 	used := max(int(float64(limit)*share), 1)
-	if !slices.Contains(s.chosen, s.self) {
+	if !s.named {
 		return 0
 	}
 	if n := used / len(s.chosen); n > 0 {
@@ -233,7 +238,7 @@
 		e.travel = travel.New()
 		e.budget = spend.New(spend.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
 		e.view.Store(table.New().View())
-		e.limits.Store(&shares{size: 1, view: e.view.Load(), mine: map[string]bool{}})
+		e.limits.Store(newShares(1, false, e.callersAddr(), nil, e.view.Load()))
 		e.callable.Store(&directory{})
 		e.board.SetLimits(func(t *table.Target) int { return e.limits.Load().connections(t) })
 	})
@@ -251,6 +256,9 @@
 // Ready reports whether this process takes requests of callers.
 func (e *Entry) Ready() bool { return e.ready.Load() && !e.stopping.Load() }
 
+// callersAddr returns where this process takes requests.
+func (e *Entry) callersAddr() netip.AddrPort { return netip.AddrPortFrom(e.Self.Addr(), e.CallerPort) }
+
 // Addresses returns where callers of a data centre may send requests, in no order. It is empty if no process is known to
 // be ready.
 func (e *Entry) Addresses(dataCentre string) []netip.AddrPort {
--- a/internal/entry/shares_test.go
+++ b/internal/entry/shares_test.go
@@ -20,7 +20,7 @@
 		all = append(all, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 1))
 	}
 	for _, self := range all {
-		s := &shares{size: n, young: young, self: self, chosen: all[:named], view: view, mine: map[string]bool{}}
+		s := newShares(n, young, self, all[:named], view)
 		sum += s.connections(&table.Target{ID: target, Service: "s"})
 	}
 	return sum
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -26,6 +26,26 @@
 }
 
 func serve(t *testing.T, reply func(n int64, r *http.Request) (string, bool)) *script {
+	t.Helper()
+	return accept(t, func(s *script, c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			text, keep := reply(s.requests.Add(1), r)
+			_, _ = io.WriteString(c, text)
+			if !keep {
+				return
+			}
+		}
+	})
+}
+
+// accept starts a target that hands each connection to a function, and closes it after.
+func accept(t *testing.T, handle func(s *script, c net.Conn)) *script {
 	t.Helper()
 	l := listen(t)
 	t.Cleanup(func() { _ = l.Close() })
@@ -37,29 +57,15 @@
 				return
 			}
 			s.conns.Add(1)
-			go s.handle(c, reply)
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(s, c)
+			}()
 		}
 	}()
 	return s
 }
 
-func (s *script) handle(c net.Conn, reply func(n int64, r *http.Request) (string, bool)) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		text, keep := reply(s.requests.Add(1), r)
-		_, _ = io.WriteString(c, text)
-		if !keep {
-			return
-		}
-	}
-}
-
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
@@ -159,31 +165,17 @@
 // serveLate sends a second reply some time after the first.
 func serveLate(t *testing.T) *script {
 	t.Helper()
-	l := listen(t)
-	t.Cleanup(func() { _ = l.Close() })
-	s := &script{peer: Peer{ID: "t", Addr: netip.MustParseAddrPort(l.Addr().String())}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.conns.Add(1)
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(c, ok("x"))
-				time.Sleep(20 * time.Millisecond)
-				_, _ = io.WriteString(c, ok("stray"))
-				time.Sleep(200 * time.Millisecond)
-			}()
+	return accept(t, func(_ *script, c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
 		}
-	}()
-	return s
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(c, ok("x"))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(c, ok("stray"))
+		time.Sleep(200 * time.Millisecond)
+	})
 }
 
 func TestRepliesThatAreNotWhole(t *testing.T) {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -168,6 +168,7 @@
 		for _, s := range b.config.Services {
 			v.services[s.Name] = s
 		}
+		v.shards = v.fewestConnections()
 	}
 	b.view = v
 	return v
@@ -181,6 +182,7 @@
 	targets  map[string][]*Target
 	known    map[string]bool
 	routes   map[string]bool
+	shards   int // least connections of the targets of a shard
 }
 
 // Match returns the route with the longest prefix of the path among those of the host.
@@ -196,6 +198,21 @@
 // Service returns the settings of a service; the zero value if there are none.
 func (v *View) Service(name string) Service { return v.services[name] }
 
+// ShardConnections returns the least that the targets of any shard of a gather route bear from the fleet; 0 for no bound.
+func (v *View) ShardConnections() int { return v.shards }
+
+func (v *View) fewestConnections() int {
+	fewest := 0
+	for i := range v.Config.Routes {
+		for _, service := range v.Config.Routes[i].Gather {
+			if n := v.services[service].Connections; n > 0 && (fewest == 0 || n < fewest) {
+				fewest = n
+			}
+		}
+	}
+	return fewest
+}
+
 // Targets returns the targets of a service that take new requests, by ID. The slice must not be changed.
 func (v *View) Targets(service string) []*Target { return v.targets[service] }
 
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -70,3 +70,15 @@
 	// A view that traffic holds doesn't change.
 	assert.DeepEqual(t, ids(before), []string{"t1", "t2"})
 }
+
+// The least bound of the targets of shards counts; services without shards, and without a bound, don't.
+func TestShardConnections(t *testing.T) {
+	b := New()
+	assert.Equal(t, b.View().ShardConnections(), 0)
+	b.SetConfig(Config{
+		Version:  1,
+		Routes:   []Route{{Name: "search", Gather: []string{"s1", "s2", "free"}}, {Name: "book", Split: []Share{{Service: "b", Weight: 1}}}},
+		Services: []Service{{Name: "s1", Connections: 72}, {Name: "s2", Connections: 26}, {Name: "free"}, {Name: "b", Connections: 6}},
+	})
+	assert.Equal(t, b.View().ShardConnections(), 26)
+}
