Targets that leave or ask to be left alone by their answers; replies that end nowhere

A target that said in its answers that it leaves was used until its entry said so; one that turned requests away with a time was asked again at once; a reply without an id was handed to whoever waited on the connection; and what a target sends without end was read until the deadline (heads without bound).

Change: table.Book keeps departures by incarnation, told to peers by a message of their own and to each new link, so that a restarted process knows them. place.Board leaves a target alone until the time that it names, probes included; quest answers without a shard whose targets are all muted, or refuses at once with the true time. pool reads on past replies to other requests, and bounds heads, bodies, and the sum of all bodies that are being read. A request that all targets have refused was held to its deadline; it is refused at once now.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -51,8 +51,9 @@
 	lag        lineup.Lag
 	reserve    lineup.Reserve // of retries
 	tickedAt   time.Time
-	busy       bool        // has no room for more requests
-	pauses     []pauseNews // to tell peers of
+	busy       bool            // has no room for more requests
+	pauses     []pauseNews     // to tell peers of
+	departures []departureNews // to tell peers of
 	pauseRate  *rate.Limiter
 	newsAt     time.Time // when statements are to be passed on; zero: none wait
 	newest     uint64    // revision of the newest documents that a peer has named
@@ -134,6 +135,7 @@
 	if !c.newsAt.IsZero() && !now.Before(c.newsAt) {
 		c.sendNews()
 		c.sendPauses(now)
+		c.sendDepartures()
 	}
 	c.answerSyncs(now)
 	c.probe(now)
@@ -148,7 +150,7 @@
 		c.entry.pool.Keep(now, view.Known)
 		c.warm(now)
 		c.entry.mu.Lock()
-		c.entry.board.Keep(view.Known)
+		c.entry.board.Keep(now, view.Known)
 		c.entry.rhythm.Keep(view.Known)
 		c.entry.travel.Keep(view.HasRoute)
 		c.entry.mu.Unlock()
@@ -366,6 +368,7 @@
 		if known && !old.Started.Equal(t.Started) {
 			e.mu.Lock()
 			e.rhythm.Forget(t.ID)
+			e.board.Forget(t.ID)
 			e.mu.Unlock()
 		}
 		if !known || old.Leaving != t.Leaving || old.Addr != t.Addr || old.Service != t.Service {
@@ -427,7 +430,7 @@
 		}
 	}
 	for _, id := range ids {
-		if t, ok := c.book.Target(id); ok && !t.Leaving {
+		if t, ok := c.book.Target(id); ok && !t.Leaving && !c.book.Departs(t) {
 			p := &probe{entry: e, target: t, path: c.book.View().Service(t.Service).HealthPath}
 			go p.run()
 		}
@@ -447,8 +450,16 @@
 	defer cancel()
 	e.pool.Drop(t.ID)
 	reply, err := e.pool.Do(ctx, pool.Peer{ID: t.ID, Addr: t.Addr}, &pool.Request{Method: "GET", Head: pool.Head("GET", p.path, t.Addr.String(), nil, 0)})
-	healthy := err == nil && reply.Status == 200 && reply.Header.Get(e.Names.Instance) == t.ID
+	own := err == nil && reply.Header.Get(e.Names.Instance) == t.ID
+	healthy := own && reply.Status == 200
+	asked := e.askedFor(t.ID, reply)
+	if own {
+		e.heardLeaving(&t, reply.Header)
+	}
 	e.mu.Lock()
+	if asked > 0 {
+		e.board.Mute(t.ID, time.Now().Add(asked))
+	}
 	e.board.Probed(time.Now(), t.ID, healthy)
 	e.mu.Unlock()
 	e.Log.Every("probe "+t.ID, 5*time.Second).Info("target that is out was probed", "target", t.ID, "healthy", healthy, "status", reply.Status, "error", err)
--- /dev/null
+++ b/internal/entry/depart.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
+)
+
+// leavingValue is what the header of a target that leaves says.
+const leavingValue = "1"
+
+// departureNews is a target that says that it leaves.
+type departureNews struct {
+	departure table.Departure
+	from      string // the peer that told; empty for none
+}
+
+// heardLeaving takes a target out if its own answer says that it leaves. The published entry may come later, or not at all.
+func (e *Entry) heardLeaving(t *table.Target, h http.Header) {
+	if h.Get(e.Names.Leaving) != leavingValue {
+		return
+	}
+	e.pool.Drop(t.ID)
+	listed := slices.ContainsFunc(e.view.Load().Targets(t.Service), func(x *table.Target) bool { return x.ID == t.ID })
+	if !listed {
+		return // known already
+	}
+	d := table.Departure{Target: t.ID, Started: t.Started}
+	e.control.post(func(c *control, now time.Time) { c.depart(now, []table.Departure{d}, "") })
+}
+
+// depart takes targets out that leave by their own word, and passes on what is new.
+func (c *control) depart(now time.Time, list []table.Departure, from string) {
+	news := false
+	for _, d := range list {
+		if !c.book.Depart(d) {
+			continue
+		}
+		news = true
+		c.departures = append(c.departures, departureNews{d, from})
+		c.entry.Log.Info("target says that it leaves", "target", d.Target, "started", d.Started, "told_by", from)
+	}
+	if news {
+		c.publish(now)
+		c.newsSoon(now)
+	}
+}
+
+// sendDepartures tells each peer what it did not tell itself.
+func (c *control) sendDepartures() {
+	for _, id := range c.entry.hub.Peers() {
+		var out []table.Departure
+		for _, d := range c.departures {
+			if d.from != id {
+				out = append(out, d.departure)
+			}
+		}
+		c.tell(id, out)
+	}
+	c.departures = nil
+}
+
+// tellDepartures tells a peer of all targets that leave, since it may have just started.
+func (c *control) tellDepartures(id string) { c.tell(id, c.book.Departures()) }
+
+func (c *control) tell(id string, list []table.Departure) {
+	if len(list) == 0 {
+		return
+	}
+	m := &peer.Departures{}
+	for _, d := range list {
+		m.Departures = append(m.Departures, peer.Departure{Target: d.Target, StartedMS: startedMS(d.Started)})
+	}
+	c.entry.hub.Tell(id, peer.Frame{Departures: m})
+}
+
+// Departures implements peer.Handler.
+func (p *peerEvents) Departures(from string, m peer.Departures) {
+	list := make([]table.Departure, len(m.Departures))
+	for i, d := range m.Departures {
+		list[i] = table.Departure{Target: d.Target}
+		if d.StartedMS > 0 {
+			list[i].Started = time.UnixMilli(d.StartedMS)
+		}
+	}
+	p.entry.control.post(func(c *control, now time.Time) { c.depart(now, list, from) })
+}
+
+// startedMS returns Unix milliseconds; 0 for an unknown time.
+func startedMS(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,7 @@
 	NotRun    string // set by a target that didn't run the request
 	Load      string // "running,waiting,slots"
 	Instance  string // ID of the target that answers
+	Leaving   string // "1" in the answers of a target that leaves
 	Parts     string // digests of the parts of an answer
 	Missing   string // number of parts left out
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -18,6 +18,7 @@
 		c.sign(now, now, id)
 		p.entry.hub.Tell(id, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
 		c.tellPauses(now, id)
+		c.tellDepartures(id)
 	})
 }
 
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +21,10 @@
 // paused replies, and the connection is kept.
 const lingerFor = 250 * time.Millisecond
 
+// maxMute is the longest time for which a target may ask to be left alone. A longer one is taken for a fault of the target;
+// its entry would say that it leaves.
+const maxMute = time.Hour
+
 // runner carries out the plan of one call.
 type runner struct {
 	entry   *Entry
@@ -86,7 +89,7 @@
 	actions := step(now)
 	for _, a := range actions {
 		if a.Send != nil {
-			a.Send.Foreign = r.entry.board.Standing(a.Send.Target) == place.Foreign
+			a.Send.Foreign = r.entry.board.Standing(now, a.Send.Target) == place.Foreign
 			r.entry.board.Sent(now, a.Send.Target.ID)
 		}
 	}
@@ -137,6 +140,10 @@
 	reply, err := e.pool.Do(r.base, pool.Peer{ID: s.Target.ID, Addr: s.Target.Addr}, r.request(s))
 	took := time.Since(began)
 	outcome := e.outcome(reply, err)
+	asked := e.askedFor(s.Target.ID, reply)
+	if outcome != place.Replaced {
+		e.heardLeaving(s.Target, reply.Header)
+	}
 	e.mu.Lock()
 	now := time.Now()
 	usual := e.board.UsualAt(r.call.route.Name, s.Target.ID)
@@ -145,6 +152,9 @@
 	} else {
 		e.board.Done(now, s.Target.ID, r.call.route.Name, place.Reply{Outcome: outcome, Latency: took, Load: parseLoad(reply.Header.Get(e.Names.Load))})
 	}
+	if asked > 0 {
+		e.board.Mute(s.Target.ID, now.Add(asked))
+	}
 	var pause rhythm.Pause
 	news := false
 	if outcome == place.Good {
@@ -234,6 +244,22 @@
 	return place.Good
 }
 
+// askedFor returns how long a target that turned a request away wants nothing from this process; 0 if it doesn't say so.
+// What isn't a number of seconds up to maxMute, such as a date, counts as nothing said.
+func (e *Entry) askedFor(target string, reply pool.Reply) time.Duration {
+	text := reply.Header.Get("Retry-After")
+	if text == "" || reply.Status != http.StatusServiceUnavailable && reply.Status != http.StatusTooManyRequests {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds >= 0 && seconds <= maxMute.Seconds()) {
+		e.Log.Every("retry after "+target, time.Minute).Warn("target asks to be left alone for a time that can't be used", "target", target, "retry_after", text)
+		return 0
+	}
+	e.Log.Every("muted "+target, time.Second).Info("target asks to be left alone", "target", target, "status", reply.Status, "retry_after_s", seconds)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // parseLoad reads "running,waiting,slots"; nil if it isn't that.
 func parseLoad(s string) *place.Load {
 	fields := strings.Split(s, ",")
@@ -261,13 +287,8 @@
 	if t, expected, ok := e.board.Pick(now, e.rnd, p.call.route.Name, targets, tried); ok {
 		return t, expected, place.Usable
 	}
-	standing := place.Down
-	for _, t := range targets {
-		if slices.Contains(tried, t.ID) || e.board.Standing(t) == place.Busy {
-			standing = place.Busy
-		}
-	}
-	return nil, 0, standing
+	standing, wait := e.board.Why(now, targets, tried)
+	return nil, wait, standing
 }
 
 // Chance implements quest.Picker.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -111,10 +111,8 @@
 		c.request.Fresh = unsafeFresh
 	}
 	id := c.id
-	c.request.Accept = func(_ int, h http.Header) bool {
-		echo := h.Get(e.Names.RequestID)
-		return echo == "" || echo == id
-	}
+	// A reply without an id may be a second copy of one to an earlier request as well.
+	c.request.Accept = func(_ int, h http.Header) bool { return h.Get(e.Names.RequestID) == id }
 	return c, wire.Status{}, true
 }
 
--- a/internal/entry/warm.go
+++ b/internal/entry/warm.go
@@ -53,7 +53,7 @@
 	}
 	for ; open < warmTargets && opened < most; open++ {
 		t, _, ok := e.board.Pick(now, e.rnd, route, targets, tried)
-		if !ok || e.board.Standing(t) != place.Usable {
+		if !ok || e.board.Standing(now, t) != place.Usable {
 			return opened
 		}
 		tried = append(tried, t.ID)
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -47,6 +47,8 @@
 	// Crew takes statements, or a summary of those that a peer knows.
 	Crew(from string, c Crew)
 	Pauses(from string, p Pauses)
+	// Departures takes targets that leave by their own word.
+	Departures(from string, d Departures)
 	// Opened says that a link to or from a peer is open.
 	Opened(peer string)
 	// Sync calls reply once, when there is something newer or the time is over.
--- a/internal/peer/ignore.go
+++ b/internal/peer/ignore.go
@@ -56,6 +56,9 @@
 // Pauses implements Handler.
 func (Ignore) Pauses(string, Pauses) {}
 
+// Departures implements Handler.
+func (Ignore) Departures(string, Departures) {}
+
 // Opened implements Handler.
 func (Ignore) Opened(string) {}
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -254,6 +254,8 @@
 			s.link.hub.cfg.Handler.Crew(s.link.id, *f.Crew)
 		case f.Pauses != nil:
 			s.link.hub.cfg.Handler.Pauses(s.link.id, *f.Pauses)
+		case f.Departures != nil:
+			s.link.hub.cfg.Handler.Departures(s.link.id, *f.Departures)
 		case f.SyncReply != nil:
 			if p := s.link.take(f.SyncReply.ID); p != nil && p.sync != nil {
 				p.sync(*f.SyncReply)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -76,6 +76,18 @@
 	PeriodUS int64 // 0: not confirmed
 }
 
+// Departures says which targets have told callers that they leave.
+type Departures struct {
+	Departures []Departure `cbor:"departures"`
+}
+
+// Departure is one target that leaves. Started is the start of its lifetime in Unix milliseconds; 0 if it isn't known.
+type Departure struct {
+	_         struct{} `cbor:",toarray"`
+	Target    string
+	StartedMS int64
+}
+
 // Sync asks for the documents that have changed after a platform revision. The reply waits up to WaitMS for one.
 type Sync struct {
 	ID     uint64 `cbor:"id"`
@@ -207,6 +219,7 @@
 	OrderReply *OrderReply    `cbor:"order_reply,omitempty"`
 	Crew       *Crew          `cbor:"crew,omitempty"`
 	Pauses     *Pauses        `cbor:"pauses,omitempty"`
+	Departures *Departures    `cbor:"departures,omitempty"`
 	Sync       *Sync          `cbor:"sync,omitempty"`
 	SyncReply  *SyncReply     `cbor:"sync_reply,omitempty"`
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -23,6 +23,8 @@
 //
 // Lost targets: refused connections, or silence in a row, take a target out. It comes back after its health page
 // has answered. A target that answers its health page and fails requests is used less, in proportion.
+//
+// Targets that say when to come back get nothing until then, not even a question for their health.
 package place
 
 import (
@@ -140,7 +142,8 @@
 	silences int
 	broken   int
 	down     bool
-	quiet    bool // out for its silence only
+	quiet    bool      // out for its silence only
+	mutedTo  time.Time // it has asked to be left alone until then
 	downFor  time.Duration
 	probeAt  time.Time
 	probeFor time.Duration // pause before the probe after the next
@@ -253,16 +256,19 @@
 	Busy             // as many sends as this process may have there
 	Down             // out until its health page answers
 	Foreign          // left to other processes, but usable
+	Muted            // has asked to be left alone for a while
 )
 
 // Standing returns whether a target can be picked now.
-func (b *Board) Standing(t *table.Target) Standing {
+func (b *Board) Standing(now time.Time, t *table.Target) Standing {
 	s := b.targets[t.ID]
 	open := 0
 	if s != nil {
 		open = len(s.open)
 	}
 	switch {
+	case b.Muted(now, t.ID) > 0:
+		return Muted
 	case s != nil && s.down:
 		return Down
 	case b.limits == nil:
@@ -278,18 +284,38 @@
 	return Usable
 }
 
+// Why says why none of the targets can be picked beside the tried ones: Busy if waiting a little may help, Muted with the
+// time until the first one may be used again, or else Down.
+func (b *Board) Why(now time.Time, targets []*table.Target, tried []string) (Standing, time.Duration) {
+	standing, wait := Down, time.Duration(0)
+	for _, t := range targets {
+		if slices.Contains(tried, t.ID) {
+			continue
+		}
+		switch b.Standing(now, t) {
+		case Busy:
+			return Busy, 0
+		case Muted:
+			if muted := b.Muted(now, t.ID); standing != Muted || muted < wait {
+				standing, wait = Muted, muted
+			}
+		}
+	}
+	return standing, wait
+}
+
 // Pick returns the target with the shortest expected time among those that may be sent to, without the tried ones, and
 // that time. If all are out, one that has only been silent, and has replied lately, is better than none: it may be slow
 // because it does the work of the others.
 func (b *Board) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, time.Duration, bool) {
 	usable := func(t *table.Target) bool {
-		standing := b.Standing(t)
+		standing := b.Standing(now, t)
 		return standing == Usable || standing == Foreign
 	}
 	if t, expected, ok := b.pick(now, rnd, route, targets, tried, usable); ok {
 		return t, expected, true
 	}
-	return b.pick(now, rnd, route, targets, tried, func(t *table.Target) bool { return b.Standing(t) == Down && b.lastResort(now, t) })
+	return b.pick(now, rnd, route, targets, tried, func(t *table.Target) bool { return b.Standing(now, t) == Down && b.lastResort(now, t) })
 }
 
 func (b *Board) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, may func(t *table.Target) bool) (*table.Target, time.Duration, bool) {
@@ -487,7 +513,7 @@
 func (b *Board) Probes(now time.Time) []string {
 	var out []string
 	for id, s := range b.targets {
-		if s.down && !now.Before(s.probeAt) {
+		if s.down && !now.Before(s.probeAt) && !now.Before(s.mutedTo) {
 			s.probeAt = now.Add(time.Duration(float64(s.probeFor) * b.probeX))
 			s.probeFor = min(2*s.probeFor, b.cfg.MaxDown)
 			out = append(out, id)
@@ -517,10 +543,34 @@
 	return s != nil && s.down
 }
 
-// Keep forgets the targets that are not listed any more and have no work.
-func (b *Board) Keep(listed func(id string) bool) {
+// Mute leaves a target alone until a time, as it has asked. A later time that it has named before stands.
+func (b *Board) Mute(id string, until time.Time) {
+	s := b.get(id)
+	if until.After(s.mutedTo) {
+		s.mutedTo = until
+	}
+}
+
+// Muted returns how much longer a target is to be left alone; 0 for not at all.
+func (b *Board) Muted(now time.Time, id string) time.Duration {
+	s := b.targets[id]
+	if s == nil {
+		return 0
+	}
+	return max(s.mutedTo.Sub(now), 0)
+}
+
+// Forget drops what is known of a target: it has started anew.
+func (b *Board) Forget(id string) {
+	if s := b.targets[id]; s != nil {
+		*s = target{speed: 1, slots: s.slots, open: s.open}
+	}
+}
+
+// Keep forgets the targets that are not listed any more, have no work and haven't asked to be left alone.
+func (b *Board) Keep(now time.Time, listed func(id string) bool) {
 	for id, s := range b.targets {
-		if len(s.open) == 0 && !listed(id) {
+		if len(s.open) == 0 && !listed(id) && !now.Before(s.mutedTo) {
 			delete(b.targets, id)
 		}
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -104,15 +104,15 @@
 	list := targets(2)
 	b.Sent(at(0), "t0")
 	b.Done(at(1), "t0", "r", Reply{Outcome: Unsent, Latency: ms(1)})
-	assert.Equal(t, b.Standing(list[0]), Down)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Down)
 	assert.Equal(t, picks(b, at(1), list)["t0"], 0)
 	assert.Equal(t, len(b.Probes(at(1))), 0)
 	assert.DeepEqual(t, b.Probes(at(251)), []string{"t0"})
 	assert.Equal(t, len(b.Probes(at(252))), 0)
 	b.Probed(at(260), "t0", false)
-	assert.Equal(t, b.Standing(list[0]), Down)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Down)
 	b.Probed(at(800), "t0", true)
-	assert.Equal(t, b.Standing(list[0]), Usable)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Usable)
 	assert.DeepEqual(t, b.Turns(), []Turn{
 		{Target: "t0", Out: true, Why: Unsent, InRow: 1, LastAge: -1}, {Target: "t0", Why: Good, InRow: 1, LastAge: -1},
 	})
@@ -146,9 +146,9 @@
 	broken()
 	answer(b, at(2), "t0", 1, ms(1))
 	broken()
-	assert.Equal(t, b.Standing(list[0]), Usable)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Usable)
 	broken()
-	assert.Equal(t, b.Standing(list[0]), Down)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Down)
 }
 
 // Silence in a row, also of sends that were given up, takes a target out.
@@ -206,7 +206,7 @@
 		b.Done(at(1), "t0", "r", Reply{Outcome: Fault, Latency: ms(1)})
 	}
 	assert.Equal(t, picks(b, at(1), list)["t0"], 0)
-	assert.Equal(t, b.Standing(list[0]), Usable)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Usable)
 	answer(b, at(2), "t0", 40, ms(10))
 	assert.Assert(t, picks(b, at(2), list)["t0"] > 200)
 }
@@ -217,11 +217,11 @@
 	list := targets(1)
 	b.SetLimits(func(*table.Target) int { return 2 })
 	b.Sent(at(0), "t0")
-	assert.Equal(t, b.Standing(list[0]), Usable)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Usable)
 	b.Sent(at(0), "t0")
-	assert.Equal(t, b.Standing(list[0]), Busy)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Busy)
 	b.Done(at(5), "t0", "r", Reply{Outcome: Good, Latency: ms(5)})
-	assert.Equal(t, b.Standing(list[0]), Usable)
+	assert.Equal(t, b.Standing(at(1000), list[0]), Usable)
 }
 
 // In a fleet larger than the connections of a target, each process uses some targets only, and others as the last resort.
@@ -276,6 +276,46 @@
 	b := New(Config{DataCentre: "here"})
 	b.Sent(at(0), "t0")
 	answer(b, at(0), "t1", 1, ms(1))
-	b.Keep(func(string) bool { return false })
+	b.Keep(at(1000), func(string) bool { return false })
 	assert.Equal(t, len(b.targets), 1) // t0 still has work
 }
+
+// A target that asks to be left alone gets nothing until then, also no question for its health, whoever names an earlier
+// time later; the others bear its work.
+func TestMutedTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(2)
+	b.Sent(at(0), "t0")
+	b.Done(at(1), "t0", "r", Reply{Outcome: Unsent, Latency: ms(1)})
+	b.Mute("t0", at(3000))
+	b.Mute("t0", at(500))
+	assert.Equal(t, len(b.Probes(at(2999))), 0)
+	assert.DeepEqual(t, b.Probes(at(3000)), []string{"t0"})
+	b.Probed(at(3001), "t0", true)
+
+	b.Mute("t0", at(5000))
+	assert.Equal(t, b.Standing(at(4999), list[0]), Muted)
+	assert.Equal(t, picks(b, at(4999), list)["t0"], 0)
+	standing, wait := b.Why(at(4999), list[:1], nil)
+	assert.Equal(t, standing, Muted)
+	assert.Equal(t, wait, ms(1))
+	b.Keep(at(4999), func(string) bool { return false })
+	assert.Equal(t, b.Standing(at(4999), list[0]), Muted) // its entry may come back
+	assert.Equal(t, b.Standing(at(5000), list[0]), Usable)
+	b.Mute("t0", at(9000))
+	b.Forget("t0")
+	assert.Equal(t, b.Standing(at(5000), list[0]), Usable)
+}
+
+// What is said of a service that no target can be picked for: one with too much work is worth a short wait, tried ones
+// aren't.
+func TestWhyNoTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(2)
+	b.SetLimits(func(*table.Target) int { return 1 })
+	b.Sent(at(0), "t0")
+	standing, _ := b.Why(at(1), list, []string{"t1"})
+	assert.Equal(t, standing, Busy)
+	standing, _ = b.Why(at(1), list, []string{"t0", "t1"})
+	assert.Equal(t, standing, Down)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,9 +11,15 @@
 // Messages are written and parsed by net/http. http.Transport isn't used, since it sends a request again by itself
 // when a kept connection breaks, and doesn't say whether anything was written.
 //
-// A connection serves one request at a time. It is closed, and not used again, after a reply that was cut short or
-// belongs to another request, after bytes beyond the reply, and if the reply was not read to its end. The number of
-// connections to a target is that of the requests at the same time; the owner of the pool bounds these.
+// A connection serves one request at a time. It is closed, and not used again, after a reply that was cut short, after
+// bytes beyond the reply, and if the reply was not read to its end. The number of connections to a target is that of
+// the requests at the same time; the owner of the pool bounds these.
+//
+// A target may send an earlier reply a second time. Replies that Request.Accept doesn't take are read and dropped, up to
+// a few, and the connection is closed after the one that it takes.
+//
+// What a target sends is bounded: the head of each reply, its body, the whole of both as it is on the wire, and the bodies
+// of all replies that are being read. A target that sends without end costs a connection and its part of these bounds.
 package pool
 
 import (
@@ -27,6 +33,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,6 +50,7 @@
 	IdleMargin  time.Duration // a connection is given up this long before the time that its target names
 	CheckAfter  time.Duration // a connection idle for longer is checked for a close before it is used
 	MaxBody     int64         // bytes of a reply
+	MaxReading  int64         // bytes of all bodies that are being read
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
@@ -58,11 +66,18 @@
 	DefaultIdleMargin = 700 * time.Millisecond
 	DefaultCheckAfter = 10 * time.Millisecond
 	DefaultMaxBody    = 8 << 20
+	// DefaultMaxReading is a fifth of the memory of a small VM, 184 MB.
+	DefaultMaxReading = 36 << 20
 )
 
 const (
-	readBuffer  = 4 << 10
-	maxInterim  = 8 // 1xx responses before a reply
+	readBuffer = 4 << 10
+	maxInterim = 8 // 1xx responses before a reply
+	maxForeign = 3 // replies to other requests before the expected one
+	maxHead    = 64 << 10
+	bodyStep   = 16 << 10 // a body without a length is read in steps of this size at first
+	// wireFactor is for chunk headers: a body may be this many times longer on the wire.
+	wireFactor  = 2
 	headerGuess = 512
 	extraGuess  = 128
 )
@@ -112,9 +127,10 @@
 
 // Reply is one whole reply.
 type Reply struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Foreign bool // replies to other requests came before it
 }
 
 // Error says how a request failed.
@@ -138,19 +154,44 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-var errForeign = errors.New("the reply belongs to another request")
+var (
+	errForeign = errors.New("the reply belongs to another request")
+	errEndless = errors.New("the reply is longer than allowed")
+	errMemory  = errors.New("too many bytes of replies are being read")
+)
 
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	left   int64     // bytes that may be read from the connection
 	since  time.Time // idle since
 	until  time.Time // must not be used later
 }
 
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
+// Read implements io.Reader within the bound for what is being read.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errEndless
+	}
+	if int64(len(b)) > c.left {
+		b = b[:c.left]
+	}
+	n, err := c.Conn.Read(b)
+	c.left -= int64(n)
+	return n, err
+}
+
 // Pool holds the idle connections. Use New.
 type Pool struct {
-	cfg    Config
-	dialed atomic.Uint64
+	cfg     Config
+	dialed  atomic.Uint64
+	reading atomic.Int64 // bytes of bodies
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -165,6 +206,7 @@
 	cfg.IdleMargin = cmp.Or(cfg.IdleMargin, DefaultIdleMargin)
 	cfg.CheckAfter = cmp.Or(cfg.CheckAfter, DefaultCheckAfter)
 	cfg.MaxBody = cmp.Or(cfg.MaxBody, DefaultMaxBody)
+	cfg.MaxReading = cmp.Or(cfg.MaxReading, DefaultMaxReading)
 	if cfg.DialContext == nil {
 		cfg.DialContext = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
@@ -294,7 +336,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	return newConn(raw), nil
 }
 
 func (p *Pool) take(id string) *conn {
@@ -347,22 +389,25 @@
 		return Reply{}, false, &Error{Unsent: n == 0, Silent: isTimeout(writeErr), Err: fmt.Errorf("write request: %w", writeErr)}
 	}
 	// A target may reply and close before it has read the whole request; the reply is still there to read.
-	resp, err := readResponse(c.reader, r.Method)
-	if err != nil {
-		err = cmp.Or(writeErr, err)
-		return Reply{}, false, &Error{Silent: isTimeout(err), Err: fmt.Errorf("read reply: %w", err)}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if r.Accept != nil && !r.Accept(resp.StatusCode, resp.Header) {
-		return Reply{}, false, &Error{Err: errForeign}
-	}
-	body, err := readBody(resp, r.Method, p.cfg.MaxBody)
-	if err != nil {
-		return Reply{}, false, &Error{Silent: isTimeout(err), Err: fmt.Errorf("read reply body: %w", err)}
+	var foreign error
+	for range maxForeign + 1 {
+		reply, last, err := p.readReply(c, r.Method)
+		if err != nil {
+			err = cmp.Or(writeErr, err)
+			return Reply{}, false, &Error{Silent: isTimeout(err), Err: errors.Join(foreign, fmt.Errorf("read reply: %w", err))}
+		}
+		if r.Accept == nil || r.Accept(reply.Status, reply.Header) {
+			reply.Foreign = foreign != nil
+			keep = writeErr == nil && foreign == nil && !r.Once && !last && c.reader.Buffered() == 0
+			c.until = time.Now().Add(p.keepFor(reply.Header))
+			return reply, keep, nil
+		}
+		foreign = errForeign
+		if last {
+			break // no further reply can follow
+		}
 	}
-	keep = writeErr == nil && !r.Once && !resp.Close && c.reader.Buffered() == 0
-	c.until = time.Now().Add(p.keepFor(resp.Header))
-	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+	return Reply{}, false, &Error{Err: foreign}
 }
 
 func encode(r *Request) []byte {
@@ -378,38 +423,67 @@
 	return append(out, r.Body...)
 }
 
-func readResponse(reader *bufio.Reader, method string) (*http.Response, error) {
+// readReply reads one whole reply. Last says that the connection ends with it.
+func (p *Pool) readReply(c *conn, method string) (reply Reply, last bool, err error) {
 	for range maxInterim {
-		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
+		c.left = maxHead
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return Reply{}, false, err
+		}
+		body, err := p.readBody(c, resp, method)
+		_ = resp.Body.Close()
+		if err != nil {
+			return Reply{}, false, fmt.Errorf("body: %w", err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			return Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, resp.Close, nil
 		}
 	}
-	return nil, errors.New("too many interim responses")
+	return Reply{}, false, errors.New("too many interim responses")
 }
 
-func readBody(resp *http.Response, method string, limit int64) ([]byte, error) {
-	if method == http.MethodHead {
+func (p *Pool) readBody(c *conn, resp *http.Response, method string) ([]byte, error) {
+	limit := p.cfg.MaxBody
+	c.left = limit*wireFactor + maxHead
+	switch {
+	case method == http.MethodHead || resp.ContentLength == 0:
 		return nil, nil
+	case resp.ContentLength > limit:
+		return nil, fmt.Errorf("%w: %d bytes of at most %d", errEndless, resp.ContentLength, limit)
 	}
-	if resp.ContentLength > limit {
-		return nil, fmt.Errorf("%d bytes, expected at most %d", resp.ContentLength, limit)
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		if _, err := io.ReadFull(resp.Body, body); err != nil {
+	var held int64
+	defer func() { p.reading.Add(-held) }()
+	body := make([]byte, 0, firstStep(resp.ContentLength))
+	for {
+		if more := int64(cap(body)) - held; more > 0 {
+			held += more
+			if p.reading.Add(more) > p.cfg.MaxReading {
+				return nil, errMemory
+			}
+		}
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+			return body, nil
+		case err != nil:
 			return nil, err
+		case int64(len(body)) > limit:
+			return nil, fmt.Errorf("%w: more than %d bytes", errEndless, limit)
+		case len(body) == cap(body):
+			body = slices.Grow(body, cap(body)) // doubles
 		}
-		return body, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = fmt.Errorf("more than %d bytes", limit)
+}
+
+// firstStep returns the first size of a body's buffer. A byte more than the length lets the end be seen without growing; a
+// stated length alone reserves no more than a few steps.
+func firstStep(length int64) int64 {
+	if length < 0 {
+		return bodyStep
 	}
-	return body, err
+	return min(length+1, 4*bodyStep)
 }
 
 // keepFor returns how long the connection may be idle.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -306,3 +306,94 @@
 	assert.Assert(t, err == nil, "%v", err)
 	assert.Equal(t, len(reply.Body), 0)
 }
+
+// A second copy of an earlier reply comes where the next one is expected: the next caller gets its own reply, and the
+// connection isn't used again.
+func TestSecondCopyOfAnEarlierReply(t *testing.T) {
+	s := serve(t, func(n int64, r *http.Request) (string, bool) {
+		own := tagged(r.URL.Path)
+		if n == 2 {
+			return tagged("/first") + own, true
+		}
+		return own, true
+	})
+	p := newPool(t)
+	for _, path := range []string{"/first", "/second", "/third"} {
+		r := &Request{Method: "GET", Head: Head("GET", path, "desk", nil, 0)}
+		r.Accept = func(_ int, h http.Header) bool { return h.Get("Tag") == path }
+		reply, err := do(t, p, s, r)
+		assert.Assert(t, err == nil, "%v", err)
+		assert.Equal(t, string(reply.Body), path)
+		assert.Equal(t, reply.Foreign, path == "/second")
+	}
+	assert.Equal(t, s.conns.Load(), int64(2))
+}
+
+// tagged is a reply that says which request it belongs to.
+func tagged(path string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nTag: %s\r\nContent-Length: %d\r\n\r\n%s", path, len(path), path)
+}
+
+// A target in trouble sends bytes without end, until the connection is closed. What is read is bounded, in a head, a header
+// field, interim replies and bodies of any framing, also if several targets do so at the same time.
+func TestBytesWithoutEnd(t *testing.T) {
+	for name, x := range map[string]struct{ first, more string }{
+		"status line":     {"HTTP/1.1 200 ", "OK"},
+		"one header":      {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"many headers":    {"HTTP/1.1 200 OK\r\n", "A: x\r\n"},
+		"interim replies": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"no HTTP":         {"", "nonsense"},
+		"chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"chunk header":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"trailer":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "A: x\r\n"},
+		"no length":       {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"foreign replies": {"", tagged("/other")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			closed := make(chan struct{}, 8)
+			s := accept(t, func(_ *script, c net.Conn) {
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, x.first)
+				more := strings.Repeat(x.more, 1000)
+				for {
+					n, err := io.WriteString(c, more)
+					if sent.Add(int64(n)); err != nil {
+						closed <- struct{}{}
+						return
+					}
+				}
+			})
+			p, closePool := New(Config{MaxBody: 1 << 20, MaxReading: 2 << 20})
+			defer closePool()
+			r := get()
+			r.Accept = func(_ int, h http.Header) bool { return h.Get("Tag") != "/other" }
+			failures := make(chan *Error, 4)
+			for range cap(failures) {
+				go func() {
+					_, failure := do(t, p, s, r)
+					failures <- failure
+				}()
+			}
+			for range cap(failures) {
+				failure := <-failures
+				assert.Assert(t, failure != nil && !failure.Unsent && !failure.Silent, "%v", failure)
+				<-closed
+			}
+			assert.Equal(t, p.reading.Load(), int64(0))
+			// The bound of a body twice, and the buffers of both sockets.
+			assert.Assert(t, sent.Load() < 4*(2<<20+12<<20), "%d bytes were taken", sent.Load())
+		})
+	}
+}
+
+// A stated length alone takes no memory.
+func TestLongLengthTakesNoMemory(t *testing.T) {
+	s := serve(t, func(int64, *http.Request) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\nx", false
+	})
+	p, closePool := New(Config{MaxReading: 1 << 20})
+	defer closePool()
+	_, failure := do(t, p, s, get())
+	assert.Assert(t, failure != nil && !errors.Is(failure, errMemory), "%v", failure)
+}
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -23,6 +23,9 @@
 // target would work for nothing while others wait there. Up to the number of parts that the route can do without, the
 // slowest of these are left out at once, except for a few that show whether the shard is still slow.
 //
+// Muted shards: targets that have asked to be left alone get nothing. A part waits if the first of them is back soon, and is
+// left out otherwise; if too many are, the request is refused at once, with the time at which they are back.
+//
 // Lost shards: a shard without any usable target is not waited for. If too many are lost, the request is refused
 // before any target works on it, with the time after which trying again makes sense.
 package quest
@@ -90,6 +93,7 @@
 	ReasonBudget      Reason = "retry_budget_used_up"
 	ReasonSlow        Reason = "shard_too_slow_for_the_goal"
 	ReasonUnsafe      Reason = "may_run_only_once"
+	ReasonMuted       Reason = "targets_asked_to_be_left_alone"
 	ReasonUnservable  Reason = "too_many_parts_lost"
 	ReasonLeastFailed Reason = "too_few_parts_answered"
 )
@@ -140,7 +144,7 @@
 // Picker chooses targets and keeps the budget.
 type Picker interface {
 	// Pick returns a target for the service and the time that a send to it is expected to take; nil and the reason if
-	// there is none now.
+	// there is none now, with the time until there is one again if the reason is place.Muted.
 	Pick(now time.Time, service string, tried []string) (*table.Target, time.Duration, place.Standing)
 	// Repeat takes one more send to the service from the budget. Failed says that it replaces one that has failed.
 	Repeat(now time.Time, service string, failed bool) bool
@@ -162,8 +166,9 @@
 	lost    bool
 	failed  int // a try with a target's own failure, or -1
 	waiting bool
-	why     Reason // why it is lost or waits
-	after   Reason // how its last send ended
+	why     Reason    // why it is lost or waits
+	back    time.Time // when its targets may be used again, if they have asked to be left alone
+	after   Reason    // how its last send ended
 }
 
 type try struct {
@@ -306,14 +311,7 @@
 	again := len(part.tried) > 0
 	t, expected, standing := p.picker.Pick(now, part.service, part.tried)
 	if t == nil {
-		switch {
-		case part.open > 0:
-		case standing == place.Busy:
-			part.waiting = true
-			part.why = ReasonBusy
-		default:
-			p.lose(part, ReasonNoTargets)
-		}
+		p.wait(now, part, standing, expected)
 		return out
 	}
 	if part.open > 0 && !p.goal.IsZero() && now.Before(p.goal) && now.Add(expected).After(p.goal) {
@@ -327,6 +325,27 @@
 	return append(out, Action{Send: p.send(now, i, t, left, again, expected)})
 }
 
+// wait decides what becomes of a part without a target: it waits if one may be usable soon.
+func (p *Plan) wait(now time.Time, part *part, standing place.Standing, usable time.Duration) {
+	switch {
+	case part.open > 0:
+	case standing == place.Busy:
+		part.waiting = true
+		part.why = ReasonBusy
+	case standing == place.Muted:
+		part.back = now.Add(usable)
+		part.why = ReasonMuted
+		if part.waiting = usable <= p.hedgeAfter; !part.waiting {
+			p.lose(part, ReasonMuted)
+		}
+	case part.after == ReasonRefused:
+		// All have refused it.
+		p.lose(part, ReasonBusy)
+	default:
+		p.lose(part, ReasonNoTargets)
+	}
+}
+
 // spare takes back the first sends of the slowest parts that would come after the goal, as far as the route can do
 // without them.
 func (p *Plan) spare(now time.Time, out []Action) []Action {
@@ -548,19 +567,22 @@
 
 // refuse ends a request that can't be served any more.
 func (p *Plan) refuse(why Reason) *Finish {
-	busy := false
-	for i := range p.parts {
-		if p.parts[i].lost && p.parts[i].why == ReasonBusy {
-			busy = true
-		}
-	}
 	if p.mayHaveRun() {
 		return &Finish{Code: codes.OutcomeUnknown, Reason: why, Missing: len(p.parts)}
 	}
-	if busy {
-		return &Finish{Code: codes.Overloaded, Reason: why, Missing: len(p.parts), RetryAfter: p.cfg.BusyAfter}
+	f := &Finish{Code: codes.NoTarget, Reason: why, Missing: len(p.parts), RetryAfter: p.cfg.DownAfter}
+	for i := range p.parts {
+		if part := &p.parts[i]; part.lost && (part.why == ReasonBusy || part.why == ReasonMuted) {
+			f.Code, f.RetryAfter = codes.Overloaded, p.cfg.BusyAfter
+		}
+	}
+	// Coming back before the last of them would be in vain.
+	for i := range p.parts {
+		if part := &p.parts[i]; part.lost && part.why == ReasonMuted {
+			f.RetryAfter = max(f.RetryAfter, part.back.Sub(p.now))
+		}
 	}
-	return &Finish{Code: codes.NoTarget, Reason: why, Missing: len(p.parts), RetryAfter: p.cfg.DownAfter}
+	return f
 }
 
 // mayHaveRun reports whether any send may have reached a target that ran it. Sends that Start is about to hand out
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -17,6 +17,7 @@
 type fakePicker struct {
 	targets  map[string][]*table.Target
 	standing place.Standing // when there is none
+	usable   time.Duration  // until there is one, if they have asked to be left alone
 	repeats  int            // budget
 	firsts   int
 	expected map[string]time.Duration
@@ -28,7 +29,7 @@
 			return t, p.expected[service], place.Usable
 		}
 	}
-	return nil, 0, p.standing
+	return nil, p.usable, p.standing
 }
 
 func (p *fakePicker) Repeat(time.Time, string, bool) bool {
@@ -347,3 +348,38 @@
 		}
 	})
 }
+
+// A shard whose targets have all asked to be left alone is left out, or waited for if they are back soon; if the answer
+// can't do without it, the request is refused at once, with the time at which they are back.
+func TestMutedShards(t *testing.T) {
+	for _, c := range []struct {
+		muted  int
+		usable time.Duration
+		sent   int
+		after  time.Duration // of the refusal
+	}{
+		{1, 2 * time.Second, 2, 0},
+		{1, time.Millisecond, 2, 0},
+		{2, 2 * time.Second, 0, 2 * time.Second},
+		{2, time.Millisecond, 1, 0},
+	} {
+		route, fake := gather(3, 0.6)
+		fake.standing, fake.usable = place.Muted, c.usable
+		for _, s := range route.Gather[:c.muted] {
+			delete(fake.targets, s)
+		}
+		p := plan(route, fake)
+		actions := p.Start(at(0))
+		assert.Equal(t, len(sends(actions)), c.sent)
+		if c.after > 0 {
+			f := finish(t, actions)
+			assert.Equal(t, f.Code, codes.Overloaded)
+			assert.Equal(t, f.RetryAfter, c.after)
+			continue
+		}
+		_, all := gather(3, 0.6)
+		fake.targets = all.targets
+		waits := c.usable < 10*time.Millisecond
+		assert.Equal(t, len(sends(p.Tick(at(5)))) > 0, waits)
+	}
+}
--- a/internal/quest/sim_test.go
+++ b/internal/quest/sim_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
@@ -265,13 +264,8 @@
 	if t, expected, ok := p.front.board.Pick(now, s.rnd, p.route.Name, list, tried); ok {
 		return t, expected, place.Usable
 	}
-	standing := place.Down
-	for _, t := range list {
-		if slices.Contains(tried, t.ID) || p.front.board.Standing(t) == place.Busy {
-			standing = place.Busy
-		}
-	}
-	return nil, 0, standing
+	standing, wait := p.front.board.Why(now, list, tried)
+	return nil, wait, standing
 }
 
 func (p *simPicker) Chance(x float64) bool {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -6,14 +6,19 @@
 //	b.SetConfig(cfg)                // ignored unless it is newer
 //	b.SetTarget(t); b.RemoveTarget(id)
 //	b.Exclude("dc-a", true)         // the operator has evacuated a data centre
+//	b.Depart(d)                     // a target says that it leaves, whatever its entry says
 //	view := b.View()                // immutable, for traffic
 //	route, ok := view.Match("desk.example", "/stock/7")
 //	for _, t := range view.Targets("desk-01") { ... }
 //
+// A target that leaves by its own word stays out until an entry of a later start replaces it, also if its entry disappears
+// and comes back in between.
+//
 // A Book is not safe for concurrent use; its owner publishes a new View after each change.
 package table
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -88,17 +93,27 @@
 	Started    time.Time     // zero if unknown
 }
 
+// Departure says that a target leaves, in one incarnation.
+type Departure struct {
+	Target  string
+	Started time.Time // zero if unknown
+}
+
+// maxDepartures bounds the departures of targets that aren't listed; a fleet of 11,000 targets replaces fewer in an hour.
+const maxDepartures = 4096
+
 // Book is the mutable state. Use New.
 type Book struct {
 	config   *Config
 	targets  map[string]Target
 	excluded map[string]bool
+	departs  map[string]time.Time // start of the incarnation that leaves, by target
 	view     *View
 }
 
 // New returns a book without configuration.
 func New() *Book {
-	return &Book{targets: map[string]Target{}, excluded: map[string]bool{}}
+	return &Book{targets: map[string]Target{}, excluded: map[string]bool{}, departs: map[string]time.Time{}}
 }
 
 // SetConfig takes a configuration. It reports false if the version isn't newer than the one in force.
@@ -129,6 +144,40 @@
 	return t, ok
 }
 
+// Depart takes a target out. It reports false if that was known, or if a later start of the target is listed.
+func (b *Book) Depart(d Departure) bool {
+	if since, ok := b.departs[d.Target]; ok && !d.Started.After(since) {
+		return false
+	}
+	if t, ok := b.targets[d.Target]; ok && t.Started.After(d.Started) {
+		return false
+	}
+	if len(b.departs) >= maxDepartures {
+		maps.DeleteFunc(b.departs, func(id string, _ time.Time) bool {
+			_, listed := b.targets[id]
+			return !listed
+		})
+	}
+	b.departs[d.Target] = d.Started
+	b.view = nil
+	return true
+}
+
+// Departs reports whether a target leaves by its own word.
+func (b *Book) Departs(t Target) bool {
+	since, ok := b.departs[t.ID]
+	return ok && !t.Started.After(since)
+}
+
+// Departures returns the targets that leave by their own word, in no order.
+func (b *Book) Departures() []Departure {
+	out := make([]Departure, 0, len(b.departs))
+	for id, started := range b.departs {
+		out = append(out, Departure{id, started})
+	}
+	return out
+}
+
 // Exclude takes a data centre out, or back in.
 func (b *Book) Exclude(dataCentre string, out bool) {
 	if out {
@@ -146,6 +195,9 @@
 	}
 	v := &View{hosts: map[string][]*Route{}, services: map[string]Service{}, targets: map[string][]*Target{}, known: map[string]bool{}, routes: map[string]bool{}}
 	for _, t := range b.targets {
+		if b.Departs(t) {
+			continue
+		}
 		v.known[t.ID] = true
 		if t.Leaving || b.excluded[t.DataCentre] {
 			continue
@@ -219,5 +271,5 @@
 // HasRoute reports whether a route of this name is in force.
 func (v *View) HasRoute(name string) bool { return v.routes[name] }
 
-// Known reports whether the target is listed in any state.
+// Known reports whether the target is listed in any state, and doesn't leave by its own word.
 func (v *View) Known(id string) bool { return v.known[id] }
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,3 +83,36 @@
 	})
 	assert.Equal(t, b.View().ShardConnections(), 26)
 }
+
+// A target that leaves by its own word stays out, also if its entry disappears and comes back; a later start is used, and
+// news of the earlier one that comes late doesn't take it out.
+func TestDeparture(t *testing.T) {
+	b := book(t)
+	first, second := time.UnixMilli(1000), time.UnixMilli(2000)
+	listed := func() int { return len(b.View().Targets("desk-01")) }
+	b.SetTarget(Target{ID: "t1", Service: "desk-01", Started: first})
+	assert.Assert(t, b.Depart(Departure{"t1", first}))
+	assert.Assert(t, !b.Depart(Departure{"t1", first}))
+	assert.Equal(t, listed(), 0)
+	assert.Assert(t, !b.View().Known("t1"))
+	b.RemoveTarget("t1")
+	b.SetTarget(Target{ID: "t1", Service: "desk-01", Started: first})
+	assert.Equal(t, listed(), 0)
+	b.SetTarget(Target{ID: "t1", Service: "desk-01", Started: second})
+	assert.Equal(t, listed(), 1)
+	assert.Assert(t, !b.Depart(Departure{"t1", first}))
+	assert.Equal(t, listed(), 1)
+	assert.DeepEqual(t, b.Departures(), []Departure{{"t1", first}})
+}
+
+// Targets come and go for years; only those that are listed are remembered for good.
+func TestDeparturesAreBounded(t *testing.T) {
+	b := book(t)
+	b.SetTarget(Target{ID: "t1", Service: "desk-01"})
+	b.Depart(Departure{Target: "t1"})
+	for i := range 3 * maxDepartures {
+		b.Depart(Departure{Target: fmt.Sprint("gone-", i)})
+	}
+	assert.Assert(t, len(b.Departures()) <= maxDepartures)
+	assert.Equal(t, len(b.View().Targets("desk-01")), 0)
+}
