Membership by accusation instead of flooded lists of neighbours

Cause: each statement listed whom its process hears, was flooded to all over ten links, and changed whenever a neighbour did. A start of 295 processes in a third of a second had each of them send 27 MB in its first 10 s; cost grew with the square of the fleet.

Change: a process states only what it is. Neighbours watch each other in a circle through the data centres and along a few links between them, and accuse one that is silent; the accused answers with a higher number, or is down after 0.8 s. News go along dialled links only, a new process leaves them to its seeds, and what is lost shows in the digest of a pong. A link that is given up on purpose says so. The lists that depend on the fleet are worked out when it changes.

Weighed: lists of neighbours with smaller encoding (a kill still changes ten lists, and a restart twenty); relays in each data centre (a hop more to notice, and a loss of the relay to repair); random probing without fixed links (each probe is a dial here).

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -1,17 +1,18 @@
-// Package crew decides which entry processes exist and run, without a published list. Each process states which others
-// it hears, and the statements are flooded over the links; a process runs if it can be reached from this one through
-// statements.
+// Package crew decides which entry processes exist and run, without a published list. Each process states what it is; a
+// statement that nobody contradicts stands. Neighbours on links watch each other, and accuse one that has fallen silent.
 //
 // # Usage
 //
 //	v := crew.New(crew.Config{}, self, incarnation, seeds, now)
 //	v.Sign(sent, id)                              // a sign of life on a link, as old as the question
-//	v.State(ready, leaving)                       // of this process
-//	v.Take(now, statements)                       // of others; newer ones are passed on
+//	v.Released(id)                                // a peer has closed its link on purpose
+//	v.State(ready, leaving, busy)                 // of this process
+//	v.Take(now, from, statements)                 // of others; newer ones are passed on
 //	v.Tick(now)
-//	for _, s := range v.News() { ... }            // send to all neighbours, at once
+//	for _, item := range v.News(now) { ... }      // send to v.Audience(now, linked), at once
 //	hub.SetPeers(v.Peers(now))                    // keep links to these
-//	for _, id := range v.Callable() { ... }    // what callers may be told
+//	if v.Differs(now, id, digest) { ... }         // with a pong of id: send it v.Summary
+//	for _, id := range v.Callable() { ... }       // what callers may be told
 //	n := v.Size(now)                              // the divisor of shares of fleet-wide limits
 //
 // After a link has opened, each side sends v.Summary, and answers the other's with v.Newer.
@@ -19,14 +20,30 @@
 // # Statements
 //
 // A statement is replaced by one of the same process with a higher incarnation, or the same and a higher sequence
-// number. Incarnations come from the time of day, which may step back: a process that meets a statement of its own
-// earlier life raises its incarnation above it. What nobody who runs hears is gone, whoever has said otherwise before.
+// number, or by the same one with the accusation Down. Incarnations come from the time of day, which may step back: a
+// process that meets a statement of its own earlier life raises its incarnation above it.
+//
+// # Accusations
+//
+// A neighbour that is silent for Config.Silence is accused. An accusation travels like a statement, and takes effect after
+// Config.Refute unless the accused has answered it with a higher sequence number by then. A process that was itself
+// suspended accuses nobody for Config.Silence. A peer that had dialled this process and fell silent is dialled first; only
+// if that fails is it accused. Who hears a process directly counts it as running, whatever others say.
 //
 // # Links
 //
-// For Config.Start, a new process has links to its seeds only; it learns of all others there, and most of what it would
-// state of others in that time would change at once. Then, up to Config.Mesh processes have links to all others. In larger fleets, each dials Config.Links others, chosen by
-// hash so that a change moves few links, and a few that are silent, in case they are back.
+// For Config.Start, a new process has links to its seeds only. Then, up to Config.Mesh processes have links to all others.
+// In larger fleets each dials the next Config.Ring processes in a circle that is the same for all, so that each process
+// is watched as long as any other runs, and Config.Links others, most in other data centres, chosen by hash so that a
+// change moves few links; and a few that are silent, in case they are back. News are sent along the dialled links only.
+// What is lost on the way shows in the digests of pongs.
+//
+// # Load pattern
+//
+// Hundreds of processes that start within a third of a second, or lose a third of their number at once. A statement is
+// about 45 bytes, whatever the size of the fleet, and is made when a process starts, becomes ready, stops or changes its
+// load, not when its neighbours change. Each process sends it on once along its links: bytes grow with the number of
+// events, and between events only with the links.
 //
 // # Answers to callers
 //
@@ -41,6 +58,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -52,21 +70,25 @@
 	DataCentre string        // of this process
 	Capacity   float64       // of its VM, in cores
 	Silence    time.Duration // a process without a sign of life for this long isn't heard
+	Refute     time.Duration // an accused process has this long to answer
 	Doubt      time.Duration // how long the list stands when most disappear at once
 	Shrink     time.Duration // Size counts a process for this long after it ran last
 	Forget     time.Duration // what is known of a silent process is dropped after this long
 	Start      time.Duration // a new process waits this long for its peers
-	Restate    time.Duration // at least between two statements of a process on what it hears
+	Restate    time.Duration // at least between two statements of a process on its load
 	Rechoose   time.Duration // at least between two choices of links in a larger fleet
 	Mesh       int           // processes up to which all have links to all
-	Links      int           // that a process of a larger fleet dials
-	Retries    int           // silent processes that a process of a larger fleet dials at a time
+	Ring       int           // next processes in the circle that a process of a larger fleet dials
+	Links      int           // others that it dials
+	Retries    int           // silent processes that it dials at a time
 }
 
 // Defaults of Config.
 const (
 	// DefaultSilence is three ping intervals of the peer hub.
 	DefaultSilence = 1500 * time.Millisecond
+	// DefaultRefute is the way of an accusation through a fleet and back, at four hops of 100 ms each way.
+	DefaultRefute = 800 * time.Millisecond
 	// DefaultDoubt keeps the total under the 7 s for which callers may be told of a process that was killed.
 	DefaultDoubt = 4 * time.Second
 	// DefaultShrink is the longest window over which a fleet-wide limit is counted.
@@ -75,32 +97,46 @@
 	DefaultForget = 5 * time.Minute
 	// DefaultStart covers the spread of process starts, 0.3 s, and the way of a statement through the seeds.
 	DefaultStart = 1200 * time.Millisecond
-	// DefaultRestate keeps the statements of a fleet that starts to a few for each process.
-	DefaultRestate = 800 * time.Millisecond
+	// DefaultRestate bounds what a fleet at the edge of its capacity says of it.
+	DefaultRestate = 2 * time.Second
 	// DefaultRechoose lets the fleet be known before links are chosen for good.
 	DefaultRechoose = 2 * time.Second
-	// DefaultMesh is the size at which links to all cost as many pings as twice DefaultLinks.
+	// DefaultMesh is the size at which links to all cost as many pings as twice those of a larger fleet.
 	DefaultMesh = 14
-	// DefaultLinks gives each process about ten neighbours, counting those that dial it; a random graph of that degree
-	// stays connected when half of it disappears.
-	DefaultLinks   = 5
+	// DefaultRing watches each process twice, so that one that disappears with its watcher is noticed by the next.
+	DefaultRing = 2
+	// DefaultLinks joins the data centres: with those that dial it, a process has about ten neighbours, and a random graph
+	// of that degree stays connected when half of it disappears.
+	DefaultLinks   = 3
 	DefaultRetries = 2
 	// retryRound is how long a silent process is dialled before another one is.
 	retryRound = 4 * time.Second
+	// linkTime is what a new link may take until the first sign of life.
+	linkTime = 2 * time.Second
+	// awakeGap between two ticks says that this process was suspended, or had no processor.
+	awakeGap = 700 * time.Millisecond
+	// maxChecks bounds the silent peers that are dialled at a time before they are accused.
+	maxChecks = 8
+	// maxAccuse is the longest pause between two accusations of a process that others hear.
+	maxAccuse = 30 * time.Second
+	// differFor is how long a digest must differ: longer than news need.
+	differFor = 800 * time.Millisecond
+	// differEvery bounds the summaries that this process sends for it.
+	differEvery = time.Second
 )
 
-// Statement is what a process says of itself and of its neighbours.
+// Statement is what a process says of itself, or, with Down, what others say of it.
 type Statement struct {
 	_           struct{} `cbor:",toarray"`
 	VM          string   `cbor:"vm"`
 	Incarnation uint64   `cbor:"incarnation"`
 	Seq         uint64   `cbor:"seq"`
+	Down        bool     `cbor:"down"` // a neighbour doesn't hear it any more
 	Ready       bool     `cbor:"ready"`
 	Leaving     bool     `cbor:"leaving"`
+	Busy        bool     `cbor:"busy"` // has no room for more
 	DataCentre  string   `cbor:"data_centre"`
-	Hears       []string `cbor:"hears"`
 	Capacity    float64  `cbor:"capacity"` // of its VM, in cores
-	Busy        bool     `cbor:"busy"`     // has no room for more
 }
 
 // Stamp says which statement of a process is known.
@@ -109,19 +145,42 @@
 	VM          string   `cbor:"vm"`
 	Incarnation uint64   `cbor:"incarnation"`
 	Seq         uint64   `cbor:"seq"`
+	Down        bool     `cbor:"down"`
 }
 
 func (s Stamp) newer(than Stamp) bool {
-	return s.Incarnation > than.Incarnation || s.Incarnation == than.Incarnation && s.Seq > than.Seq
+	if s.Incarnation != than.Incarnation {
+		return s.Incarnation > than.Incarnation
+	}
+	if s.Seq != than.Seq {
+		return s.Seq > than.Seq
+	}
+	return s.Down && !than.Down
+}
+
+func (s Statement) stamp() Stamp {
+	return Stamp{VM: s.VM, Incarnation: s.Incarnation, Seq: s.Seq, Down: s.Down}
 }
 
-func (s Statement) stamp() Stamp { return Stamp{VM: s.VM, Incarnation: s.Incarnation, Seq: s.Seq} }
+// hash is the part of a statement in the digest. Those that are down have none, since they are forgotten at different
+// times.
+func (s Statement) hash() uint64 {
+	if s.Seq == 0 || s.Down {
+		return 0
+	}
+	raw := binary.LittleEndian.AppendUint64([]byte(s.VM), s.Incarnation)
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(raw, s.Seq))
+}
 
 type member struct {
-	statement Statement // Seq 0: none is known
-	since     time.Time // first named
-	sign      time.Time // last sign of life on a link of this process
-	ran       time.Time // last time that it could be reached through statements
+	statement Statement     // Seq 0: none is known
+	since     time.Time     // first named
+	sign      time.Time     // last sign of life on a link of this process; zero: none is expected
+	ran       time.Time     // last time that it ran
+	accused   time.Time     // since when it is said to be down
+	pause     time.Duration // before this process accuses it again
+	hold      time.Time     // this process doesn't accuse it until then
+	place     uint64        // in the circle
 }
 
 // View is the state of one process. Use New.
@@ -129,24 +188,34 @@
 	cfg      Config
 	self     string
 	started  time.Time
+	seed     bool // this process is one
 	seeds    map[string]bool
 	mine     Statement
-	hears    []string  // now; what mine says may be a little older
-	statedAt time.Time // last statement on what this process hears
+	busyAt   time.Time // last statement on the load
 	members  map[string]*member
 	news     map[string]string // members whose statements are to be sent, and the neighbour that each came from
-	running  []string          // at the last Tick, in order
+	digest   uint64            // of the statements of the others
+	version  uint64            // of what the other processes are and whether they run
+	hears    []string
+	running  []string // at the last Tick, in order
 	callable []string
 	shown    []string // the last list for callers that was not in doubt
 	shownAt  time.Time
 	doubtful bool
 	chosen   []string // links of a process of a larger fleet
 	chosenAt time.Time
+	linked   map[string]time.Time // links that this process keeps, and since when
+	checks   map[string]time.Time // silent peers that are dialled before they are accused, and since when
+	ticked   time.Time
+	awake    time.Time // since when this process has run without a gap
+	differs  map[string]time.Time
+	askedAt  time.Time // last summary for a digest that differs
 }
 
 // New returns a view that knows the seeds. Self is the ID of this process; IDs are peer addresses.
 func New(cfg Config, self string, incarnation uint64, seeds []string, now time.Time) *View {
 	cfg.Silence = cmp.Or(cfg.Silence, DefaultSilence)
+	cfg.Refute = cmp.Or(cfg.Refute, DefaultRefute)
 	cfg.Doubt = cmp.Or(cfg.Doubt, DefaultDoubt)
 	cfg.Shrink = cmp.Or(cfg.Shrink, DefaultShrink)
 	cfg.Forget = cmp.Or(cfg.Forget, DefaultForget)
@@ -154,17 +223,21 @@
 	cfg.Restate = cmp.Or(cfg.Restate, DefaultRestate)
 	cfg.Rechoose = cmp.Or(cfg.Rechoose, DefaultRechoose)
 	cfg.Mesh = cmp.Or(cfg.Mesh, DefaultMesh)
+	cfg.Ring = cmp.Or(cfg.Ring, DefaultRing)
 	cfg.Links = cmp.Or(cfg.Links, DefaultLinks)
 	cfg.Retries = cmp.Or(cfg.Retries, DefaultRetries)
 	v := &View{
-		cfg: cfg, self: self, started: now, seeds: map[string]bool{}, members: map[string]*member{}, news: map[string]string{},
+		cfg: cfg, self: self, started: now, awake: now, seeds: map[string]bool{}, members: map[string]*member{}, news: map[string]string{},
+		linked: map[string]time.Time{}, checks: map[string]time.Time{}, differs: map[string]time.Time{},
 		mine: Statement{VM: self, Incarnation: incarnation, Seq: 1, DataCentre: cfg.DataCentre, Capacity: cfg.Capacity},
 	}
 	for _, id := range seeds {
-		if id != self {
-			v.seeds[id] = true
-			v.member(now, id)
+		if id == self {
+			v.seed = true
+			continue
 		}
+		v.seeds[id] = true
+		v.member(now, id)
 	}
 	v.news[self] = ""
 	return v
@@ -173,7 +246,7 @@
 func (v *View) member(now time.Time, id string) *member {
 	m := v.members[id]
 	if m == nil {
-		m = &member{since: now}
+		m = &member{since: now, place: xxhash.Sum64String(id)}
 		v.members[id] = m
 	}
 	return m
@@ -189,13 +262,26 @@
 	if at.After(m.sign) {
 		m.sign = at
 	}
+	m.pause = 0
 	return news
 }
 
-// State sets what this process says of itself.
+// Released says that a peer has closed its link to this process on purpose: its silence means nothing.
+func (v *View) Released(id string) {
+	if m := v.members[id]; m != nil && v.linked[id].IsZero() {
+		m.sign = time.Time{}
+	}
+}
+
+// State sets what this process says of itself. Changes of the load alone wait for Config.Restate.
 func (v *View) State(ready, leaving, busy bool) {
-	if v.mine.Ready != ready || v.mine.Leaving != leaving || v.mine.Busy != busy {
-		v.mine.Ready, v.mine.Leaving, v.mine.Busy = ready, leaving, busy
+	if busy != v.mine.Busy && v.ticked.Sub(v.busyAt) >= v.cfg.Restate {
+		v.busyAt = v.ticked
+		v.mine.Busy = busy
+		v.restate()
+	}
+	if v.mine.Ready != ready || v.mine.Leaving != leaving {
+		v.mine.Ready, v.mine.Leaving = ready, leaving
 		v.restate()
 	}
 }
@@ -208,24 +294,66 @@
 // Take takes statements of other processes from a neighbour. Newer ones become news for all others.
 func (v *View) Take(now time.Time, from string, statements []Statement) {
 	for _, s := range statements {
-		if s.VM == "" {
-			continue
-		}
-		if s.VM == v.self {
-			if s.stamp().newer(v.mine.stamp()) {
-				v.mine.Incarnation = s.Incarnation + 1
-				v.restate()
+		switch {
+		case s.VM == "" || s.Seq == 0:
+		case s.VM == v.self:
+			v.answer(s)
+		case v.members[s.VM] == nil && s.Down:
+			// Its absence is no news here.
+		default:
+			m := v.member(now, s.VM)
+			if m.statement.Seq > 0 && !s.stamp().newer(m.statement.stamp()) {
+				continue
 			}
-			continue
-		}
-		m := v.member(now, s.VM)
-		if m.statement.Seq == 0 || s.stamp().newer(m.statement.stamp()) {
-			m.statement = s
+			v.set(now, m, s)
 			v.news[s.VM] = from
 		}
 	}
 }
 
+// answer takes what others hold of this process: of an earlier life, or an accusation.
+func (v *View) answer(s Statement) {
+	switch {
+	case s.Incarnation == v.mine.Incarnation && s.Seq > v.mine.Seq, s.Incarnation > v.mine.Incarnation:
+		v.mine.Incarnation = s.Incarnation + 1
+		v.restate()
+	case s.Incarnation == v.mine.Incarnation && s.Seq == v.mine.Seq && s.Down:
+		v.restate()
+	}
+}
+
+// set replaces the statement of a member.
+func (v *View) set(now time.Time, m *member, s Statement) {
+	v.digest ^= m.statement.hash() ^ s.hash()
+	m.statement = s
+	m.accused = time.Time{}
+	if s.Down {
+		m.accused = now
+	}
+	v.version++
+}
+
+// Digest returns a number that is the same for all processes that know the same statements.
+func (v *View) Digest() uint64 { return v.digest ^ v.mine.hash() }
+
+// Differs takes the digest of a peer, and reports whether to send it a summary: it has differed for longer than news need.
+func (v *View) Differs(now time.Time, id string, digest uint64) bool {
+	if digest == v.Digest() {
+		delete(v.differs, id)
+		return false
+	}
+	since, ok := v.differs[id]
+	switch {
+	case !ok:
+		v.differs[id] = now
+	case now.Sub(since) >= differFor && now.Sub(v.askedAt) >= differEvery:
+		v.askedAt = now
+		delete(v.differs, id)
+		return true
+	}
+	return false
+}
+
 // Summary lists the statements that are known, in the order of IDs.
 func (v *View) Summary() []Stamp {
 	out := []Stamp{v.mine.stamp()}
@@ -246,7 +374,7 @@
 	}
 	var out []Statement
 	for _, s := range v.Summary() {
-		if old, ok := known[s.VM]; !ok || s.newer(old) {
+		if old, ok := known[s.VM]; ok && s.newer(old) || !ok && !s.Down {
 			out = append(out, v.statement(s.VM))
 		}
 	}
@@ -266,11 +394,13 @@
 	From      string // the neighbour that it came from, which need not get it; empty for none
 }
 
-// News returns the statements to send to all neighbours, once, in the order of IDs.
-func (v *View) News() []Item {
+// News returns the statements to send, once, in the order of IDs. A process that has just started speaks for itself only:
+// its seeds know the others.
+func (v *View) News(now time.Time) []Item {
 	out := make([]Item, 0, len(v.news))
+	relays := v.seed || v.Settled(now)
 	for id, from := range v.news {
-		if id == v.self || v.members[id] != nil {
+		if id == v.self || relays && v.members[id] != nil {
 			out = append(out, Item{v.statement(id), from})
 		}
 	}
@@ -279,56 +409,90 @@
 	return out
 }
 
+// Audience returns which of the linked processes, whoever dialled, get the news: in a larger fleet, those that this process
+// has dialled.
+func (v *View) Audience(linked []string) []string {
+	if len(v.members) < v.cfg.Mesh {
+		return linked
+	}
+	return slices.DeleteFunc(slices.Clone(linked), func(id string) bool { return v.linked[id].IsZero() })
+}
+
 // Tick works out who runs.
 func (v *View) Tick(now time.Time) {
-	var hears []string
+	if now.Sub(v.ticked) > awakeGap {
+		v.awake = now
+	}
+	v.ticked = now
+	var hears, running []string
 	for id, m := range v.members {
-		if now.Sub(m.sign) <= v.cfg.Silence {
+		heard := now.Sub(m.sign) <= v.cfg.Silence
+		if heard {
 			hears = append(hears, id)
+		} else {
+			v.watch(now, id, m)
+		}
+		down := !m.accused.IsZero() && now.Sub(m.accused) >= v.cfg.Refute
+		if heard || m.statement.Seq > 0 && !down {
+			running = append(running, id)
+			m.ran = now
 		}
-	}
-	slices.Sort(hears)
-	v.hears = hears
-	if now.Sub(v.statedAt) >= v.cfg.Restate && !slices.Equal(hears, v.mine.Hears) {
-		v.mine.Hears = hears
-		v.statedAt = now
-		v.restate()
-	}
-	v.running = v.reach()
-	for _, id := range v.running {
-		v.member(now, id).ran = now
-	}
-	v.callable = v.callers(now)
-	for id, m := range v.members {
 		last := m.ran
 		if last.IsZero() {
 			last = m.since
 		}
 		if !v.seeds[id] && now.Sub(last) > v.cfg.Forget {
+			v.digest ^= m.statement.hash()
 			delete(v.members, id)
+			v.version++
 		}
 	}
+	v.endChecks(now)
+	slices.Sort(hears)
+	v.hears = hears
+	slices.Sort(running)
+	if !slices.Equal(running, v.running) {
+		v.version++
+	}
+	v.running = running
+	callable := v.callers(now)
+	if !slices.Equal(callable, v.callable) {
+		v.version++
+	}
+	v.callable = callable
 }
 
-// reach returns the processes that can be reached through statements, in order, without this one.
-func (v *View) reach() []string {
-	seen := map[string]bool{v.self: true}
-	queue := []string{v.self}
-	for len(queue) > 0 {
-		hears := v.hears
-		if m := v.members[queue[0]]; m != nil {
-			hears = m.statement.Hears
+// watch accuses a member that isn't heard, if this process has a link that should tell.
+func (v *View) watch(now time.Time, id string, m *member) {
+	if m.statement.Seq == 0 || m.statement.Down || now.Sub(v.awake) <= v.cfg.Silence {
+		return
+	}
+	since := v.linked[id]
+	if since.IsZero() {
+		if !m.sign.IsZero() && v.checks[id].IsZero() && len(v.checks) < maxChecks {
+			v.checks[id] = now
 		}
-		queue = queue[1:]
-		for _, id := range hears {
-			if !seen[id] {
-				seen[id] = true
-				queue = append(queue, id)
-			}
+		return
+	}
+	if m.sign.Before(since) && now.Sub(since) <= linkTime || now.Before(m.hold) {
+		return
+	}
+	m.pause = min(max(2*m.pause, v.cfg.Silence), maxAccuse)
+	m.hold = now.Add(m.pause)
+	s := m.statement
+	s.Down = true
+	v.set(now, m, s)
+	v.news[id] = ""
+}
+
+// endChecks gives up links to peers that turned out to be heard, or were accused.
+func (v *View) endChecks(now time.Time) {
+	for id, since := range v.checks {
+		m := v.members[id]
+		if m == nil || m.statement.Down || now.Sub(m.sign) <= v.cfg.Silence || now.Sub(since) > 2*linkTime {
+			delete(v.checks, id)
 		}
 	}
-	delete(seen, v.self)
-	return sorted(seen)
 }
 
 // Running returns the IDs of the processes that run, in order, without this one.
@@ -340,6 +504,9 @@
 // Callable returns the IDs of the other processes that take requests, in order, as of the last Tick.
 func (v *View) Callable() []string { return v.callable }
 
+// Version changes whenever the statements or the running processes have changed.
+func (v *View) Version() uint64 { return v.version }
+
 func (v *View) callers(now time.Time) []string {
 	takes := func(id string) bool {
 		m := v.members[id]
@@ -407,6 +574,30 @@
 
 // Peers returns the IDs of the processes to keep links to, in order. The caller may change the slice.
 func (v *View) Peers(now time.Time) []string {
+	out := v.wanted(now)
+	for id := range v.checks {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	out = slices.Compact(out)
+	for id := range v.linked {
+		if _, wanted := slices.BinarySearch(out, id); !wanted {
+			delete(v.linked, id)
+			if m := v.members[id]; m != nil {
+				m.sign = time.Time{}
+			}
+		}
+	}
+	for _, id := range out {
+		if v.linked[id].IsZero() {
+			v.linked[id] = now
+		}
+	}
+	return out
+}
+
+// wanted returns the links that this process keeps besides checks.
+func (v *View) wanted(now time.Time) []string {
 	if !v.Settled(now) && len(v.seeds) > 0 {
 		return sorted(v.seeds)
 	}
@@ -415,7 +606,6 @@
 		all = append(all, id)
 	}
 	if len(all) < v.cfg.Mesh {
-		slices.Sort(all)
 		return all
 	}
 	runs := make(map[string]bool, len(v.running))
@@ -443,7 +633,17 @@
 func (v *View) choose(now time.Time, all []string, runs map[string]bool) []string {
 	slices.SortFunc(all, byHash(v.self))
 	live := slices.DeleteFunc(slices.Clone(all), func(id string) bool { return !runs[id] })
-	out := live[:min(v.cfg.Links, len(live))]
+	out := v.successors(live)
+	// Neighbours in the circle are mostly of this data centre; the others are of all.
+	far := slices.DeleteFunc(slices.Clone(live), func(id string) bool { return v.members[id].statement.DataCentre == v.cfg.DataCentre })
+	for _, id := range slices.Concat(far, live) {
+		if len(out) >= v.cfg.Ring+v.cfg.Links {
+			break
+		}
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
 	silent := slices.DeleteFunc(all, func(id string) bool { return runs[id] })
 	round := int(now.Sub(v.started) / retryRound)
 	for i := range min(v.cfg.Retries, len(silent)) {
@@ -457,3 +657,22 @@
 	slices.Sort(out)
 	return slices.Compact(out)
 }
+
+// successors returns the next processes in the circle, which goes through one data centre after the other.
+func (v *View) successors(live []string) []string {
+	circle := slices.Clone(live)
+	slices.SortFunc(circle, func(a, b string) int {
+		x, y := v.members[a], v.members[b]
+		return cmp.Or(cmp.Compare(x.statement.DataCentre, y.statement.DataCentre), cmp.Compare(x.place, y.place))
+	})
+	own := xxhash.Sum64String(v.self)
+	next, _ := slices.BinarySearchFunc(circle, v.self, func(id, _ string) int {
+		m := v.members[id]
+		return cmp.Or(cmp.Compare(m.statement.DataCentre, v.cfg.DataCentre), cmp.Compare(m.place, own))
+	})
+	var out []string
+	for i := range min(v.cfg.Ring, len(circle)) {
+		out = append(out, circle[(next+i)%len(circle)])
+	}
+	return out
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -51,6 +51,7 @@
 	lag        lineup.Lag
 	reserve    lineup.Reserve // of retries
 	tickedAt   time.Time
+	addressed  addressBasis // of the list of callers' addresses
 	busy       bool            // has no room for more requests
 	pauses     []pauseNews     // to tell peers of
 	departures []departureNews // to tell peers of
@@ -61,6 +62,15 @@
 	chasing    bool      // newer documents have been asked for
 }
 
+// addressBasis is what the list of callers' addresses depends on.
+type addressBasis struct {
+	crew        uint64 // version
+	connections int
+	doubtful    bool
+	ready       bool
+	busy        bool
+}
+
 // waitingSync is a peer's request for changes that has no answer yet.
 type waitingSync struct {
 	after uint64
@@ -169,6 +179,7 @@
 		e.Log.Info("readiness changed", "ready", ready, "as_of", c.facts.AsOf())
 	}
 	c.crew.State(ready, e.stopping.Load(), c.busy)
+	e.crewDigest.Store(c.crew.Digest())
 	c.publishAddresses()
 	c.publishShares(now, view)
 	c.link(now)
@@ -202,7 +213,12 @@
 func (c *control) publishAddresses() {
 	e := c.entry
 	next := &directory{connections: c.book.View().ShardConnections(), doubtful: c.crew.Doubtful()}
-	if e.Ready() {
+	basis := addressBasis{c.crew.Version(), next.connections, next.doubtful, e.Ready(), c.busy}
+	if basis == c.addressed {
+		return
+	}
+	c.addressed = basis
+	if basis.ready {
 		next.list = append(next.list, address{addr: e.callersAddr(), dataCentre: e.DataCentre, capacity: e.Capacity, busy: c.busy})
 	}
 	for _, id := range c.crew.Callable() {
@@ -278,11 +294,17 @@
 
 func (c *control) sendNews() {
 	c.newsAt = time.Time{}
-	news := c.crew.News()
+	news := c.crew.News(time.Now())
 	if len(news) == 0 {
 		return
 	}
-	for _, id := range c.entry.hub.Peers() {
+	for _, item := range news {
+		// The accused must know, whoever has dialled whom.
+		if item.Statement.Down {
+			c.entry.hub.Tell(item.Statement.VM, peer.Frame{Crew: &peer.Crew{Statements: []crew.Statement{item.Statement}}})
+		}
+	}
+	for _, id := range c.crew.Audience(c.entry.hub.Peers()) {
 		var statements []crew.Statement
 		for _, item := range news {
 			if item.From != id && item.Statement.VM != id {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -132,6 +132,8 @@
 	inFlight atomic.Int64
 	asOf     atomic.Uint64 // platform revision of the documents in force
 
+	crewDigest atomic.Uint64 // of the statements that this process knows
+
 	mu     sync.Mutex // guards the rest
 	board  *place.Board
 	rhythm *rhythm.Board
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -26,7 +26,7 @@
 func (p *peerEvents) Ping(from string, m peer.Ping) peer.Pong {
 	e := p.entry
 	e.control.post(func(c *control, now time.Time) { c.sign(now, now, from) })
-	return peer.Pong{Seq: m.Seq, EvidenceAgeMS: -1, Incarnation: e.incarnation, Leaving: e.stopping.Load(), AsOf: e.asOf.Load()}
+	return peer.Pong{Seq: m.Seq, EvidenceAgeMS: -1, Incarnation: e.incarnation, Leaving: e.stopping.Load(), AsOf: e.asOf.Load(), Crew: e.crewDigest.Load()}
 }
 
 // Pong implements peer.Handler.
@@ -35,9 +35,17 @@
 		// The sign of life is as old as the ping: a pong may have waited in a buffer.
 		c.sign(now, sent, from)
 		c.compare(now, from, m.AsOf)
+		if c.crew.Differs(now, from, m.Crew) {
+			p.entry.hub.Tell(from, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+		}
 	})
 }
 
+// Unlinked implements peer.Handler.
+func (p *peerEvents) Unlinked(from string) {
+	p.entry.control.post(func(c *control, _ time.Time) { c.crew.Released(from) })
+}
+
 // Crew implements peer.Handler.
 func (p *peerEvents) Crew(from string, m peer.Crew) {
 	p.entry.control.post(func(c *control, now time.Time) {
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -49,6 +49,8 @@
 	Pauses(from string, p Pauses)
 	// Departures takes targets that leave by their own word.
 	Departures(from string, d Departures)
+	// Unlinked says that a peer closes its link to this process on purpose.
+	Unlinked(from string)
 	// Opened says that a link to or from a peer is open.
 	Opened(peer string)
 	// Sync calls reply once, when there is something newer or the time is over.
@@ -132,7 +134,7 @@
 	defer h.mu.Unlock()
 	for id, l := range h.links {
 		if want[id] != l.addr {
-			l.cancel()
+			l.retire()
 			delete(h.links, id)
 		}
 	}
--- a/internal/peer/ignore.go
+++ b/internal/peer/ignore.go
@@ -59,6 +59,9 @@
 // Departures implements Handler.
 func (Ignore) Departures(string, Departures) {}
 
+// Unlinked implements Handler.
+func (Ignore) Unlinked(string) {}
+
 // Opened implements Handler.
 func (Ignore) Opened(string) {}
 
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -143,6 +143,8 @@
 		h.Crew(in.from, *f.Crew)
 	case f.Pauses != nil:
 		h.Pauses(in.from, *f.Pauses)
+	case f.Unlink != nil:
+		h.Unlinked(in.from)
 	case f.Departures != nil:
 		h.Departures(in.from, *f.Departures)
 	case f.Sync != nil:
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -17,9 +17,13 @@
 // helloTimeout bounds dialling and the exchange of hello messages.
 const helloTimeout = 2 * time.Second
 
+// retireTime bounds the last message of a link that isn't wanted any more.
+const retireTime = time.Second
+
 type outgoing struct {
 	frame   Frame
 	pending *pending
+	last    bool // the link ends once it is written
 }
 
 // link is the outgoing link to one peer. It is dialled again for as long as the peer is listed.
@@ -42,6 +46,15 @@
 	return l
 }
 
+// retire ends the link, after it has told the peer so if it is open.
+func (l *link) retire() {
+	if !l.enqueue(outgoing{frame: Frame{Unlink: &Unlink{}}, last: true}) {
+		l.cancel()
+		return
+	}
+	time.AfterFunc(retireTime, l.cancel)
+}
+
 // announce asks the session for a ping; one request that is open already is enough.
 func (l *link) announce() {
 	select {
@@ -194,7 +207,9 @@
 			if o.pending != nil {
 				o.pending.written.Store(true)
 			}
-			err = s.write(ctx, o.frame)
+			if err = s.write(ctx, o.frame); o.last {
+				s.link.cancel()
+			}
 		case <-s.link.hasten:
 			err = s.ping(ctx)
 		case <-tick.C:
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -54,6 +54,7 @@
 	Leaving       bool          `cbor:"leaving"`
 	Incarnation   uint64        `cbor:"incarnation"`
 	AsOf          uint64        `cbor:"as_of,omitempty"` // platform revision of the peer's documents
+	Crew          uint64        `cbor:"crew,omitempty"`  // digest of the statements that the peer knows
 }
 
 // Crew passes statements on. A summary asks for those that the sender lacks.
@@ -88,6 +89,9 @@
 	StartedMS int64
 }
 
+// Unlink says that the sender closes its link on purpose; its silence on it means nothing.
+type Unlink struct{}
+
 // Sync asks for the documents that have changed after a platform revision. The reply waits up to WaitMS for one.
 type Sync struct {
 	ID     uint64 `cbor:"id"`
@@ -220,6 +224,7 @@
 	Crew       *Crew          `cbor:"crew,omitempty"`
 	Pauses     *Pauses        `cbor:"pauses,omitempty"`
 	Departures *Departures    `cbor:"departures,omitempty"`
+	Unlink     *Unlink        `cbor:"unlink,omitempty"`
 	Sync       *Sync          `cbor:"sync,omitempty"`
 	SyncReply  *SyncReply     `cbor:"sync_reply,omitempty"`
 }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -385,6 +385,9 @@
 // Pauses are not looked for on this path.
 func (p *peerEvents) Pauses(string, peer.Pauses) {}
 
+// Unlinked needs no answer: the published list says which VMs are heard from.
+func (p *peerEvents) Unlinked(string) {}
+
 // Departures implements peer.Handler; entry processes that dispatch learn of departures from target notes.
 func (p *peerEvents) Departures(string, peer.Departures) {}
 
