Faults of the program cost one event; planned stops answer what they have read

Cause: looked for the troubles that operators of similar systems report. A planned stop cut requests that had just been read, 2 to 4 in a second and a half of eight busy callers: http.Server.Shutdown closes a connection without an answer if its request was read after the shutdown began. A panic in the control loop or a send ended the process. A configuration with negative attempts would have ended every request with a panic. And a send of which nothing had arrived drew on the budget of repeats, so that a process that had just started refused requests beside one dead target.

Change: planned stops close the listener, then wait for the connections that are in use. Entry.guard around events, ticks, sends and probes. quest counts what arrived.

Ruled out: that a restarted process uses a removed target for long. A seed that is itself cut off from the store takes the removal for a lapse and keeps the target for 2.2 s; the users allow 3 s.

Also: news of pauses go straight between the processes that use targets, a link opens with a digest instead of a summary, connections are opened ahead in proportion to the shards, stale followers ask a neighbour before the store, and callers are told of processes with 0.2 of the capacity of a data centre, the strong ones.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -15,7 +15,8 @@
 //	for _, id := range v.Callable() { ... }       // what callers may be told
 //	n := v.Size(now)                              // the divisor of shares of fleet-wide limits
 //
-// After a link has opened, each side sends v.Summary, and answers the other's with v.Newer.
+// After a link has opened, a process that is not yet settled sends v.Summary; the others call v.Fresh, so that the first
+// pong is compared. A summary is answered with v.Newer, and with a summary if v.Lacks says so.
 //
 // # Statements
 //
@@ -59,6 +60,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -294,6 +296,9 @@
 // Take takes statements of other processes from a neighbour. Newer ones become news for all others.
 func (v *View) Take(now time.Time, from string, statements []Statement) {
 	for _, s := range statements {
+		if !(s.Capacity >= 0 && s.Capacity < math.MaxInt16) {
+			s.Capacity = 0 // as if it weren't stated
+		}
 		switch {
 		case s.VM == "" || s.Seq == 0:
 		case s.VM == v.self:
@@ -354,6 +359,23 @@
 	return false
 }
 
+// Fresh says that a link to a peer has just opened: if its next digest differs, something was missed meanwhile.
+func (v *View) Fresh(now time.Time, id string) { v.differs[id] = now.Add(-differFor) }
+
+// Lacks reports whether a summary names statements that aren't known here.
+func (v *View) Lacks(theirs []Stamp) bool {
+	return slices.ContainsFunc(theirs, func(s Stamp) bool {
+		switch m := v.members[s.VM]; {
+		case s.VM == v.self:
+			return false
+		case m == nil:
+			return !s.Down
+		default:
+			return s.newer(m.statement.stamp())
+		}
+	})
+}
+
 // Summary lists the statements that are known, in the order of IDs.
 func (v *View) Summary() []Stamp {
 	out := []Stamp{v.mine.stamp()}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -51,9 +51,10 @@
 	lag        lineup.Lag
 	reserve    lineup.Reserve // of retries
 	tickedAt   time.Time
-	addressed  addressBasis // of the list of callers' addresses
+	addressed  addressBasis    // of the list of callers' addresses
 	busy       bool            // has no room for more requests
 	pauses     []pauseNews     // to tell peers of
+	pausesAt   time.Time       // when
 	departures []departureNews // to tell peers of
 	pauseRate  *rate.Limiter
 	newsAt     time.Time // when statements are to be passed on; zero: none wait
@@ -125,14 +126,14 @@
 		case <-ctx.Done():
 			return
 		case f := <-c.events:
-			f(c, time.Now())
+			c.entry.guard("event", func() { f(c, time.Now()) })
 		case <-tick.C:
 			now := time.Now()
 			if !c.tickedAt.IsZero() {
 				c.busy = c.lag.Observe(now.Sub(c.tickedAt) - controlTick)
 			}
 			c.tickedAt = now
-			c.tick(now)
+			c.entry.guard("tick", func() { c.tick(now) })
 		}
 	}
 }
@@ -144,9 +145,9 @@
 	c.publish(now)
 	if !c.newsAt.IsZero() && !now.Before(c.newsAt) {
 		c.sendNews()
-		c.sendPauses(now)
 		c.sendDepartures()
 	}
+	c.sendPauses(now)
 	c.answerSyncs(now)
 	c.probe(now)
 	if now.Sub(c.reportedAt) >= reportEvery {
@@ -159,14 +160,20 @@
 		view := c.entry.view.Load()
 		c.entry.pool.Keep(now, view.Known)
 		c.warm(now)
-		c.entry.mu.Lock()
-		c.entry.board.Keep(now, view.Known)
-		c.entry.rhythm.Keep(view.Known)
-		c.entry.travel.Keep(view.HasRoute)
-		c.entry.mu.Unlock()
+		c.keepMemory(now, view)
 	}
 }
 
+// keepMemory forgets what isn't listed any more.
+func (c *control) keepMemory(now time.Time, view *table.View) {
+	e := c.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.board.Keep(now, view.Known)
+	e.rhythm.Keep(view.Known)
+	e.travel.Keep(view.HasRoute)
+}
+
 // publish makes what has changed visible to traffic and peers.
 func (c *control) publish(now time.Time) {
 	e := c.entry
@@ -245,11 +252,12 @@
 // link keeps the links that the crew asks for, and one to the reader that this process follows.
 func (c *control) link(now time.Time) {
 	e := c.entry
-	peers := c.crew.Peers(now)
-	if reader := c.reader(); reader != "" && !slices.Contains(peers, reader) {
+	peers := append(c.crew.Peers(now), c.namedPeers()...)
+	if reader := c.reader(); reader != "" {
 		peers = append(peers, reader)
-		slices.Sort(peers)
 	}
+	slices.Sort(peers)
+	peers = slices.Compact(peers)
 	if slices.Equal(peers, c.peers) {
 		return
 	}
@@ -466,7 +474,9 @@
 	path   string
 }
 
-func (p *probe) run() {
+func (p *probe) run() { p.entry.guard("probe", p.ask) }
+
+func (p *probe) ask() {
 	e, t := p.entry, p.target
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,6 +125,7 @@
 	hub      *peer.Hub
 	pool     *pool.Pool
 	control  *control
+	conns    conns // of callers
 	view     atomic.Pointer[table.View]
 	callable atomic.Pointer[directory]
 	ready    atomic.Bool
@@ -133,6 +134,7 @@
 	asOf     atomic.Uint64 // platform revision of the documents in force
 
 	crewDigest atomic.Uint64 // of the statements that this process knows
+	faults     atomic.Uint64 // of the program, caught by guard
 
 	mu     sync.Mutex // guards the rest
 	board  *place.Board
@@ -291,21 +293,30 @@
 	e.control = newControl(e, time.Now())
 
 	callers := e.server(http.HandlerFunc(e.serve))
+	callers.ConnState = e.conns.observe
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, e.hub)
 	peers := e.server(mux)
 	failed := make(chan error, 2)
 	var wg sync.WaitGroup
-	wg.Go(func() { failed <- callers.Serve(e.Callers) })
+	wg.Go(func() {
+		if err := callers.Serve(e.Callers); !e.stopping.Load() {
+			failed <- err
+		}
+	})
 	wg.Go(func() { failed <- peers.Serve(e.Peers) })
 	wg.Go(func() { e.control.loop(ctx) })
-	wg.Go(func() { e.control.follow.loop(ctx) })
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			e.guard("follower", func() { e.control.follow.loop(ctx) })
+		}
+	})
 	e.Log.Info("entry process started", "vm", e.Self, "data_centre", e.DataCentre, "incarnation", e.incarnation, "seeds", e.Seeds)
 
 	var err error
 	select {
 	case <-e.stop:
-		e.drain(ctx, callers)
+		e.drain(ctx)
 	case <-ctx.Done():
 	case err = <-failed:
 	}
@@ -334,11 +345,13 @@
 	// finishShare leaves a sixth of the time unused.
 	finishShare = 0.83
 	defGrace    = 6 * time.Second
+	// finishStep is the pause between two looks at what is left.
+	finishStep = 20 * time.Millisecond
 )
 
 // drain ends a planned stop: peers and callers are told at once, requests are served until callers have had time to
-// leave, and the rest is finished.
-func (e *Entry) drain(ctx context.Context, callers *http.Server) {
+// leave, and the rest is finished: no connection is accepted any more, and each accepted one gets its answer.
+func (e *Entry) drain(ctx context.Context) {
 	start := time.Now()
 	grace := cmp.Or(e.Bounds.Grace, defGrace)
 	e.control.post(func(c *control, now time.Time) {
@@ -355,8 +368,13 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, start.Add(time.Duration(finishShare*float64(grace))))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		e.Log.Warn("planned stop ended with requests open", "in_flight", e.inFlight.Load(), "error", err)
+	_ = e.Callers.Close() // Serve ends with the error
+	for busy := e.conns.closeIdle(); busy > 0; busy = e.conns.closeIdle() {
+		if ctx.Err() != nil {
+			e.Log.Warn("planned stop ended with connections in use", "connections", busy, "in_flight", e.inFlight.Load())
+			return
+		}
+		sleep(ctx, finishStep)
 	}
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -102,6 +102,9 @@
 		sleep(ctx, startPause)
 		return
 	}
+	if f.askNeighbour(ctx) {
+		return
+	}
 	f.distant = time.Now().Add(doubtAfter)
 	f.entry.Log.Every("stale peer", time.Second).Info("no fresh documents from the process that is followed; asking the platform", "peer", reader, "age", age)
 }
@@ -196,13 +199,16 @@
 // bridge learns from a peer while the platform doesn't answer, and waits before the next try.
 func (f *follower) bridge(ctx context.Context) {
 	f.retry = min(max(2*f.retry, retryMin), retryMax)
+	f.askNeighbour(ctx)
+	sleep(ctx, f.retry/2+rand.N(f.retry))
+}
+
+// askNeighbour takes what any linked process has. It reports whether that is fresh.
+func (f *follower) askNeighbour(ctx context.Context) (fresh bool) {
 	var after uint64
 	var peers []string
 	f.control.ask(func(c *control, _ time.Time) { after, peers = c.facts.AsOf(), c.linked() })
-	if len(peers) > 0 {
-		f.sync(ctx, peers[rand.IntN(len(peers))], after, 0)
-	}
-	sleep(ctx, f.retry/2+rand.N(f.retry))
+	return len(peers) > 0 && f.sync(ctx, peers[rand.IntN(len(peers))], after, 0)
 }
 
 // sync takes documents from a peer. It reports whether they are fresh.
--- /dev/null
+++ b/internal/entry/guard_test.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/quest"
+)
+
+// A fault of the program in an event costs the event, not the process.
+func TestFaultInAnEvent(t *testing.T) {
+	e := &Entry{}
+	e.init()
+	c := newControl(e, time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go c.loop(ctx)
+	c.post(func(*control, time.Time) { panic("malformed") })
+	done := make(chan struct{})
+	c.post(func(*control, time.Time) { close(done) })
+	select {
+	case <-done:
+	case <-time.After(time.Second):
+		t.Fatal("the loop has ended")
+	}
+	assert.Assert(t, e.Faults() >= 1)
+}
+
+// A fault in a send ends it as a broken connection, whose outcome isn't known.
+func TestFaultInASend(t *testing.T) {
+	e := &Entry{}
+	e.init()
+	r := &runner{entry: e, results: make(chan sent, 1), base: t.Context()}
+	d := &delivery{runner: r, send: quest.Send{Try: 3}} // without a target
+	d.run()
+	s := <-r.results
+	assert.Equal(t, s.try, 3)
+	assert.Equal(t, s.outcome, place.Broken)
+	assert.Equal(t, e.Faults(), uint64(1))
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -16,7 +16,11 @@
 func (p *peerEvents) Opened(id string) {
 	p.entry.control.post(func(c *control, now time.Time) {
 		c.sign(now, now, id)
-		p.entry.hub.Tell(id, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+		if c.crew.Settled(now) {
+			c.crew.Fresh(now, id)
+		} else {
+			p.entry.hub.Tell(id, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+		}
 		c.tellPauses(now, id)
 		c.tellDepartures(id)
 	})
@@ -53,6 +57,9 @@
 			if newer := c.crew.Newer(m.Summary); len(newer) > 0 {
 				p.entry.hub.Tell(from, peer.Frame{Crew: &peer.Crew{Statements: newer}})
 			}
+			if c.crew.Lacks(m.Summary) {
+				p.entry.hub.Tell(from, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+			}
 		}
 		if len(m.Statements) > 0 {
 			c.crew.Take(now, from, m.Statements)
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -25,6 +25,9 @@
 // its entry would say that it leaves.
 const maxMute = time.Hour
 
+// resultsOfPart is how many sends of a part may end before the plan looks. Those beyond wait for it.
+const resultsOfPart = 4
+
 // runner carries out the plan of one call.
 type runner struct {
 	entry   *Entry
@@ -48,7 +51,7 @@
 func newRunner(e *Entry, c *call, services []string) *runner {
 	r := &runner{entry: e, call: c, replies: map[int]*pool.Reply{}, digests: map[string]bool{}}
 	r.plan = quest.New(quest.Config{}, c.route, services, (*picker)(r), c.began, c.caller)
-	r.results = make(chan sent, len(services)*(c.route.Attempts+1)+8)
+	r.results = make(chan sent, len(services)*resultsOfPart)
 	r.base, r.cancel = context.WithDeadline(context.Background(), r.plan.Deadline())
 	return r
 }
@@ -134,6 +137,17 @@
 }
 
 func (d *delivery) run() {
+	r := d.runner
+	end := sent{try: d.send.Try, outcome: place.Broken}
+	r.entry.guard("send", func() { end = d.exchange() })
+	select {
+	case r.results <- end:
+	case <-r.base.Done(): // the plan has finished
+	}
+}
+
+// exchange sends the request, reads the reply and takes what it shows of the target.
+func (d *delivery) exchange() sent {
 	r, s := d.runner, d.send
 	e := r.entry
 	began := time.Now()
@@ -144,23 +158,7 @@
 	if outcome != place.Replaced {
 		e.heardLeaving(s.Target, reply.Header)
 	}
-	e.mu.Lock()
-	now := time.Now()
-	usual := e.board.UsualAt(r.call.route.Name, s.Target.ID)
-	if errors.Is(r.base.Err(), context.Canceled) && outcome == place.Silent {
-		e.board.Abandoned(now, s.Target.ID, r.call.route.Name, took)
-	} else {
-		e.board.Done(now, s.Target.ID, r.call.route.Name, place.Reply{Outcome: outcome, Latency: took, Load: parseLoad(reply.Header.Get(e.Names.Load))})
-	}
-	if asked > 0 {
-		e.board.Mute(s.Target.ID, now.Add(asked))
-	}
-	var pause rhythm.Pause
-	news := false
-	if outcome == place.Good {
-		pause, news = e.rhythm.Saw(now, s.Target.ID, began, usual)
-	}
-	e.mu.Unlock()
+	pause, news := d.learn(began, took, outcome, asked, reply)
 	e.Stats.ObserveSub(s.Target.ID, subKind(s), subCode(outcome), took)
 	if news {
 		e.sawPause(pause)
@@ -177,10 +175,29 @@
 	if err == nil {
 		end.reply = &reply
 	}
-	select {
-	case r.results <- end:
-	case <-r.base.Done(): // the plan has finished
+	return end
+}
+
+// learn tells the board how a send ended. It returns the pause of the target that this has shown, if it is news.
+func (d *delivery) learn(began time.Time, took time.Duration, outcome place.Outcome, asked time.Duration, reply pool.Reply) (rhythm.Pause, bool) {
+	r, id := d.runner, d.send.Target.ID
+	e := r.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	usual := e.board.UsualAt(r.call.route.Name, id)
+	if errors.Is(r.base.Err(), context.Canceled) && outcome == place.Silent {
+		e.board.Abandoned(now, id, r.call.route.Name, took)
+	} else {
+		e.board.Done(now, id, r.call.route.Name, place.Reply{Outcome: outcome, Latency: took, Load: parseLoad(reply.Header.Get(e.Names.Load))})
+	}
+	if asked > 0 {
+		e.board.Mute(id, now.Add(asked))
+	}
+	if outcome != place.Good {
+		return rhythm.Pause{}, false
 	}
+	return e.rhythm.Saw(now, id, began, usual)
 }
 
 // request returns the message for one send.
--- a/internal/entry/warm.go
+++ b/internal/entry/warm.go
@@ -13,8 +13,13 @@
 	// warmTargets of each shard have an open connection: the one that is used, and the one that would back it up. A
 	// second send that must dial first comes too late on short goals.
 	warmTargets = 2
-	warmAtOnce  = 16 // connections opened in one round, so that targets aren't flooded
-	warmTime    = 300 * time.Millisecond
+	// A connection that is opened ahead lasts pool.DefaultUnused, so that in each round of keepEvery a quarter of those that
+	// are wanted is opened, and some more.
+	warmShare = 0.4
+	// warmAtOnce is the least that is opened in one round; warmMost keeps targets from being flooded.
+	warmAtOnce = 16
+	warmMost   = 128
+	warmTime   = 300 * time.Millisecond
 	// warmAhead is how long a new process keeps connections open before any request has come.
 	warmAhead = 20 * time.Second
 )
@@ -28,7 +33,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	left := warmAtOnce
+	left := min(max(warmAtOnce, int(warmShare*float64(warmTargets*view.Shards()))), warmMost)
 	seen := map[string]bool{}
 	for i := range view.Config.Routes {
 		for _, service := range view.Config.Routes[i].Gather {
@@ -70,7 +75,9 @@
 	to    pool.Peer
 }
 
-func (o *opening) run() {
+func (o *opening) run() { o.entry.guard("warm", o.open) }
+
+func (o *opening) open() {
 	ctx, cancel := context.WithTimeout(context.Background(), warmTime)
 	defer cancel()
 	if err := o.entry.pool.Warm(ctx, o.to); err != nil {
--- a/internal/lineup/lineup.go
+++ b/internal/lineup/lineup.go
@@ -35,8 +35,8 @@
 
 // Defaults of Config.
 const (
-	// DefaultShare leaves room for three times the load of a fleet that uses a tenth of its capacity.
-	DefaultShare = 0.3
+	// DefaultShare leaves room for five times the load of a fleet that uses a twenty-fifth of its capacity.
+	DefaultShare = 0.2
 	// DefaultFewest leaves the callers of a data centre an address when one process is lost.
 	DefaultFewest = 2
 	// DefaultPerVM is one that is in use and one for a second request.
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -160,6 +160,7 @@
 	service string
 	tried   []string // targets of all sends
 	ran     int      // sends that the target may have run
+	arrived int      // sends of which something may have reached the target
 	open    int
 	sentAt  time.Time // latest send
 	done    bool
@@ -317,7 +318,8 @@
 	if part.open > 0 && !p.goal.IsZero() && now.Before(p.goal) && now.Add(expected).After(p.goal) {
 		return out // a second send would come too late as well
 	}
-	if again && !p.picker.Repeat(now, part.service, part.open == 0) {
+	// A send of which nothing has arrived is no load on the service; the next one is the first there.
+	if again && part.arrived > 0 && !p.picker.Repeat(now, part.service, part.open == 0) {
 		p.denied++
 		p.lose(part, ReasonBudget)
 		return out
@@ -367,7 +369,7 @@
 			continue
 		}
 		part := &p.parts[a.Send.Part]
-		part.tried, part.ran, part.open = nil, 0, 0
+		part.tried, part.ran, part.arrived, part.open = nil, 0, 0, 0
 		p.tries[a.Send.Try].open = false
 		p.lose(part, ReasonSlow)
 		out = slices.DeleteFunc(out, func(b Action) bool { return b.Send.Try == a.Send.Try })
@@ -386,6 +388,7 @@
 	part := &p.parts[i]
 	part.tried = append(part.tried, t.ID)
 	part.ran++
+	part.arrived++
 	part.open++
 	part.sentAt = now
 	p.tries = append(p.tries, try{part: i, open: true})
@@ -412,6 +415,9 @@
 		out = p.again(now, i, ReasonFailed, out)
 	case place.Refused, place.Replaced, place.Unsent:
 		part.ran--
+		if outcome == place.Unsent {
+			part.arrived--
+		}
 		part.after = ReasonRefused
 		if !part.done && part.open == 0 {
 			out = p.dispatch(now, i, out)
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -383,3 +383,14 @@
 		assert.Equal(t, len(sends(p.Tick(at(5)))) > 0, waits)
 	}
 }
+
+// A target that refuses the connection has cost its service nothing: the next send needs no budget. One after a refusal does.
+func TestUnsentNeedsNoBudget(t *testing.T) {
+	for outcome, sent := range map[place.Outcome]int{place.Unsent: 1, place.Refused: 0, place.Fault: 0} {
+		fake := picker("s")
+		fake.repeats = 0
+		p := plan(single(table.Safe), fake)
+		p.Start(at(0))
+		assert.Equal(t, len(sends(p.Done(at(1), 0, outcome))), sent, outcome.String())
+	}
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -221,6 +221,7 @@
 			v.services[s.Name] = s
 		}
 		v.shards = v.fewestConnections()
+		v.shardCount = v.countShards()
 	}
 	b.view = v
 	return v
@@ -235,6 +236,8 @@
 	known    map[string]bool
 	routes   map[string]bool
 	shards   int // least connections of the targets of a shard
+
+	shardCount int // services of gather routes
 }
 
 // Match returns the route with the longest prefix of the path among those of the host.
@@ -253,6 +256,19 @@
 // ShardConnections returns the least that the targets of any shard of a gather route bear from the fleet; 0 for no bound.
 func (v *View) ShardConnections() int { return v.shards }
 
+// Shards returns the number of services that gather routes name.
+func (v *View) Shards() int { return v.shardCount }
+
+func (v *View) countShards() int {
+	services := map[string]bool{}
+	for i := range v.Config.Routes {
+		for _, service := range v.Config.Routes[i].Gather {
+			services[service] = true
+		}
+	}
+	return len(services)
+}
+
 func (v *View) fewestConnections() int {
 	fewest := 0
 	for i := range v.Config.Routes {
