--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -87,7 +87,7 @@
 	c := &control{
 		entry: e, began: now, packed: packer{}, pauseRate: newPauseRate(),
 		events: make(chan func(*control, time.Time), eventQueue), ended: make(chan struct{}),
-		book: table.New(), facts: facts.New(facts.Config{}), reserve: lineup.Reserve{Window: crew.DefaultShrink},
+		book: table.New(), facts: facts.New(facts.Config{}), reserve: lineup.Reserve{Window: crew.DefaultShrink, First: e.First},
 		crew: crew.New(crew.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.Self.String(), e.incarnation, seeds, now),
 	}
 	c.follow = &follower{entry: e, control: c}
@@ -205,7 +205,7 @@
 		// Callers who keep an old address are served as before until the end.
 		chosen = old.chosen
 	}
-	next := newShares(size, now.Sub(c.began) < predecessorFor, e.callersAddr(), chosen, view)
+	next := newShares(size, !e.First && now.Sub(c.began) < predecessorFor, e.callersAddr(), chosen, view)
 	part := c.reserve.Part(now, lineup.Fleet{Size: size, Named: len(chosen), Others: len(d.list) - len(d.chosen), Chosen: next.named})
 	e.mu.Lock()
 	e.budget.SetPart(part)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,6 +121,7 @@
 	Stats      *stats.Registry
 	Bounds     Bounds
 	Seed       uint64 // of random choices; 0: random
+	First      bool   // no process has run on this VM before; its successors say false
 
 	hub      *peer.Hub
 	pool     *pool.Pool
@@ -311,7 +312,7 @@
 			e.guard("follower", func() { e.control.follow.loop(ctx) })
 		}
 	})
-	e.Log.Info("entry process started", "vm", e.Self, "data_centre", e.DataCentre, "incarnation", e.incarnation, "seeds", e.Seeds)
+	e.Log.Info("entry process started", "vm", e.Self, "data_centre", e.DataCentre, "incarnation", e.incarnation, "first", e.First, "seeds", e.Seeds)
 
 	var err error
 	select {
--- a/internal/lineup/part_test.go
+++ b/internal/lineup/part_test.go
@@ -62,6 +62,25 @@
 	})
 }
 
+// Replays the start of a large fleet: who is named settles within two seconds. Second sends must be possible when callers
+// come, 14 s later; after a restart, as soon as nothing of the time before counts any more.
+func TestPartAfterStart(t *testing.T) {
+	for first, ready := range map[bool]time.Duration{true: 12 * time.Second, false: 10 * time.Second} {
+		r := lineup.Reserve{Window: window, First: first}
+		start := time.Unix(1000, 0)
+		at := func(d time.Duration, chosen bool) float64 {
+			return r.Part(start.Add(d), lineup.Fleet{Size: 295, Named: 18, Others: 277, Chosen: chosen})
+		}
+		at(0, true) // a restarted process is named as before
+		if first {
+			at(time.Second, false)
+			at(2*time.Second, true)
+		}
+		assert.Assert(t, at(9*time.Second, true) <= 0.2/295)
+		assert.Equal(t, at(ready, true), 0.8/18)
+	}
+}
+
 // The named processes of a fleet share most of it; in a fleet that serves as a whole, all have the same.
 func TestParts(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/travel/travel.go
+++ b/internal/travel/travel.go
@@ -28,11 +28,14 @@
 	leastSpent = time.Millisecond
 	// mostWay bounds the way: of a continent.
 	mostWay = 40 * time.Millisecond
+	// enoughSpent requests show the least time. The first few of a process that has just started meet busy VMs.
+	enoughSpent = 12
 )
 
 // seen is what a number of requests of a route have shown.
 type seen struct {
 	n     int
+	spent int           // requests whose callers had spent some time
 	full  time.Duration // longest time stated
 	least time.Duration // least that was spent, above zero; zero if nothing was
 }
@@ -62,6 +65,9 @@
 	if spent > mostSpent {
 		spent = 0
 	}
+	if spent >= leastSpent {
+		r.now.spent++
+	}
 	if spent >= leastSpent && (r.now.least == 0 || spent < r.now.least) {
 		r.now.least = spent
 	}
@@ -74,6 +80,9 @@
 	if r.last.least > 0 && (least == 0 || r.last.least < least) {
 		least = r.last.least
 	}
+	if r.now.spent+r.last.spent < enoughSpent {
+		return 0
+	}
 	return min(least/2, mostWay)
 }
 
