Control work only where the fleet or the documents have changed

Cause: each process sorted and hashed the whole fleet to find the readers and its links in every tick of 100 ms, looked through all documents for old removals, and processes that callers aren't told of looked for connections to open.

--- a/internal/crew/crew.go
+++ b/internal/crew/crew.go
@@ -195,6 +195,7 @@
 	mine     Statement
 	busyAt   time.Time // last statement on the load
 	members  map[string]*member
+	order    []string          // IDs of the members
 	news     map[string]string // members whose statements are to be sent, and the neighbour that each came from
 	digest   uint64            // of the statements of the others
 	version  uint64            // of what the other processes are and whether they run
@@ -204,6 +205,7 @@
 	shown    []string // the last list for callers that was not in doubt
 	shownAt  time.Time
 	doubtful bool
+	readers  []string
 	chosen   []string // links of a process of a larger fleet
 	chosenAt time.Time
 	linked   map[string]time.Time // links that this process keeps, and since when
@@ -212,6 +214,15 @@
 	awake    time.Time // since when this process has run without a gap
 	differs  map[string]time.Time
 	askedAt  time.Time // last summary for a digest that differs
+
+	readersOf readerBasis
+}
+
+// readerBasis is what the choice of readers depends on.
+type readerBasis struct {
+	version uint64
+	leaving bool
+	n       int
 }
 
 // New returns a view that knows the seeds. Self is the ID of this process; IDs are peer addresses.
@@ -250,6 +261,8 @@
 	if m == nil {
 		m = &member{since: now, place: xxhash.Sum64String(id)}
 		v.members[id] = m
+		i, _ := slices.BinarySearch(v.order, id)
+		v.order = slices.Insert(v.order, i, id)
 	}
 	return m
 }
@@ -379,8 +392,8 @@
 // Summary lists the statements that are known, in the order of IDs.
 func (v *View) Summary() []Stamp {
 	out := []Stamp{v.mine.stamp()}
-	for _, m := range v.members {
-		if m.statement.Seq > 0 {
+	for _, id := range v.order {
+		if m := v.members[id]; m.statement.Seq > 0 {
 			out = append(out, m.statement.stamp())
 		}
 	}
@@ -447,7 +460,9 @@
 	}
 	v.ticked = now
 	var hears, running []string
-	for id, m := range v.members {
+	forget := false
+	for _, id := range v.order {
+		m := v.members[id]
 		heard := now.Sub(m.sign) <= v.cfg.Silence
 		if heard {
 			hears = append(hears, id)
@@ -467,12 +482,14 @@
 			v.digest ^= m.statement.hash()
 			delete(v.members, id)
 			v.version++
+			forget = true
 		}
 	}
+	if forget {
+		v.order = slices.DeleteFunc(v.order, func(id string) bool { return v.members[id] == nil })
+	}
 	v.endChecks(now)
-	slices.Sort(hears)
 	v.hears = hears
-	slices.Sort(running)
 	if !slices.Equal(running, v.running) {
 		v.version++
 	}
@@ -572,8 +589,16 @@
 func (v *View) Settled(now time.Time) bool { return now.Sub(v.started) >= v.cfg.Start }
 
 // Readers returns the n processes that are first in a fixed order, among those that run and don't stop; all processes
-// that know the same ones agree on them.
+// that know the same ones agree on them. The caller must not change the slice.
 func (v *View) Readers(n int) []string {
+	basis := readerBasis{v.version, v.mine.Leaving, n}
+	if v.readersOf != basis {
+		v.readersOf, v.readers = basis, v.chooseReaders(n)
+	}
+	return v.readers
+}
+
+func (v *View) chooseReaders(n int) []string {
 	var out []string
 	if !v.mine.Leaving {
 		out = append(out, v.self)
@@ -623,22 +648,18 @@
 	if !v.Settled(now) && len(v.seeds) > 0 {
 		return sorted(v.seeds)
 	}
-	all := make([]string, 0, len(v.members))
-	for id := range v.members {
-		all = append(all, id)
+	if len(v.order) < v.cfg.Mesh {
+		return slices.Clone(v.order)
 	}
-	if len(all) < v.cfg.Mesh {
-		return all
-	}
-	runs := make(map[string]bool, len(v.running))
-	for _, id := range v.running {
-		runs[id] = true
+	runs := func(id string) bool {
+		_, ok := slices.BinarySearch(v.running, id)
+		return ok
 	}
-	lost := slices.ContainsFunc(v.chosen, func(id string) bool { return !runs[id] })
+	lost := slices.ContainsFunc(v.chosen, func(id string) bool { return !runs(id) })
 	if age := now.Sub(v.chosenAt); age < v.cfg.Rechoose && (!lost || age < v.cfg.Rechoose/4) {
 		return slices.Clone(v.chosen)
 	}
-	v.chosen, v.chosenAt = v.choose(now, all, runs), now
+	v.chosen, v.chosenAt = v.choose(now, slices.Clone(v.order), runs), now
 	return slices.Clone(v.chosen)
 }
 
@@ -652,9 +673,9 @@
 }
 
 // choose returns the links of a process of a larger fleet, in order.
-func (v *View) choose(now time.Time, all []string, runs map[string]bool) []string {
+func (v *View) choose(now time.Time, all []string, runs func(id string) bool) []string {
 	slices.SortFunc(all, byHash(v.self))
-	live := slices.DeleteFunc(slices.Clone(all), func(id string) bool { return !runs[id] })
+	live := slices.DeleteFunc(slices.Clone(all), func(id string) bool { return !runs(id) })
 	out := v.successors(live)
 	// Neighbours in the circle are mostly of this data centre; the others are of all.
 	far := slices.DeleteFunc(slices.Clone(live), func(id string) bool { return v.members[id].statement.DataCentre == v.cfg.DataCentre })
@@ -666,7 +687,7 @@
 			out = append(out, id)
 		}
 	}
-	silent := slices.DeleteFunc(all, func(id string) bool { return runs[id] })
+	silent := slices.DeleteFunc(all, runs)
 	round := int(now.Sub(v.started) / retryRound)
 	for i := range min(v.cfg.Retries, len(silent)) {
 		out = append(out, silent[(round*v.cfg.Retries+i)%len(silent)])
--- a/internal/entry/warm.go
+++ b/internal/entry/warm.go
@@ -28,7 +28,7 @@
 func (c *control) warm(now time.Time) {
 	e := c.entry
 	view := e.view.Load()
-	if view.Config == nil || e.stopping.Load() {
+	if view.Config == nil || e.stopping.Load() || !e.limits.Load().named {
 		return
 	}
 	e.mu.Lock()
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -50,6 +50,9 @@
 	DefaultTombstones = time.Minute
 )
 
+// sweepEvery is the interval at which old removals are looked for.
+const sweepEvery = time.Second
+
 // Batch is what one process tells another.
 type Batch struct {
 	Documents []plat.Document
@@ -74,6 +77,7 @@
 	back     time.Time // first successful read after a failed one
 	waiting  int       // entries with lapsed set
 	complete bool
+	swept    time.Time       // last look for old removals
 	dubious  map[string]bool // keys that a peer says have lapsed, during Merge
 }
 
@@ -175,6 +179,10 @@
 
 // Tick returns the documents that are gone for good now, and forgets old removals.
 func (s *Set) Tick(now time.Time) (changed []plat.Document) {
+	if s.waiting == 0 && now.Sub(s.swept) < sweepEvery {
+		return nil
+	}
+	s.swept = now
 	for key, e := range s.entries {
 		switch {
 		case !e.lapsed.IsZero():
