Processes that aren't readers leave a failing store alone

Change: a follower that the store has failed asks its reader and neighbours for 1 to 2 s before it asks the store again.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -38,6 +38,9 @@
 	// doubtAfter is the age of a follower's documents from which it looks elsewhere. With the time that a reader needs to
 	// notice, it stays below the 3 s in which a configuration must be in force.
 	doubtAfter = time.Second
+	// barredFor, and up to twice this, is how long a process that isn't a reader leaves the platform alone after it has
+	// failed. Readers ask all the time; hundreds of others would cost more calls than a day without failures.
+	barredFor = time.Second
 	// retryMin and retryMax bound the pause after a failed read; the longer one still notices a return of the platform
 	// within the 2 s in which targets renew their entries.
 	retryMin = 100 * time.Millisecond
@@ -56,6 +59,7 @@
 	retry   time.Duration
 	began   time.Time
 	distant time.Time // read from the platform until then, since peers are stale
+	barred  time.Time // the platform isn't asked until then in place of a reader, since it has just failed
 }
 
 // loop runs until ctx ends.
@@ -79,6 +83,10 @@
 			continue
 		}
 		f.note(err)
+		if err != nil && complete && reader != "" {
+			f.distant = time.Time{}
+			f.barred = time.Now().Add(barredFor + rand.N(barredFor))
+		}
 		if err != nil && ctx.Err() == nil {
 			f.bridge(ctx)
 		}
@@ -105,6 +113,10 @@
 	if f.askNeighbour(ctx) {
 		return
 	}
+	if time.Now().Before(f.barred) {
+		sleep(ctx, startPause)
+		return
+	}
 	f.distant = time.Now().Add(doubtAfter)
 	f.entry.Log.Every("stale peer", time.Second).Info("no fresh documents from the process that is followed; asking the platform", "peer", reader, "age", age)
 }
