Second sends go to the last open parts; the wait for them is worked out under the lock

Cause: where many parts are a little late at once, as after a start of all, each asked for a second send, and the budget was gone before the parts that met a pause did. Plan.Wake also read the board without its lock, which may end the process (concurrent map access).

Change: a second send waits until 0.12 of the parts are open, or it is urgent. 10 ms for an unknown way.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -39,6 +39,7 @@
 	cancel  context.CancelFunc
 	base    context.Context // of all sends; outlives the call by lingerFor, up to its deadline
 	sends   int
+	wake    time.Time // when the plan is next due
 }
 
 // sent is the end of one send.
@@ -63,7 +64,7 @@
 	defer timer.Stop()
 	finish := r.do(r.decide(func(now time.Time) []quest.Action { return r.plan.Start(now) }))
 	for finish == nil {
-		timer.Reset(max(time.Until(r.plan.Wake()), 0))
+		timer.Reset(max(time.Until(r.wake), 0))
 		select {
 		case s := <-r.results:
 			finish = r.do(r.decide(func(now time.Time) []quest.Action { return r.take(now, s) }))
@@ -96,6 +97,7 @@
 			r.entry.board.Sent(now, a.Send.Target.ID)
 		}
 	}
+	r.wake = r.plan.Wake()
 	return actions
 }
 
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -16,6 +16,10 @@
 // Stragglers: with ten shards and targets that pause one time in twenty-five, four requests in ten meet a pause.
 // A send that has taken longer than nearly all do is repeated at another target; the first reply counts.
 //
+// Many late sends at once: targets whose speed isn't known yet, or a slow spell, make more sends late than the budget can
+// back. Most of them reply in time all the same. Second sends wait until few parts are open, or it is urgent, so that the
+// budget is left for the targets that pause.
+//
 // Late shards: at the route's goal, less what the caller spent before the request arrived and the time that an answer needs
 // to reach it, a gather request that covers the route's least share is answered as it is and says what is missing.
 //
@@ -46,6 +50,7 @@
 	WakeTime   time.Duration // that an answer needs to leave this process
 	HedgeFloor time.Duration // no send is backed by a second one sooner
 	HedgeShare float64       // of the time until the answer must leave; a send is backed by a second one after it at the latest
+	HedgeMost  float64       // share of the parts that may be open for a second send to be made before it is urgent
 	TrySlow    float64       // share of the sends to shards that are too slow, 0..1
 	WaitStep   time.Duration // a part without a usable target looks again this often
 	DownAfter  time.Duration // Retry-After when targets are out
@@ -55,14 +60,19 @@
 
 // Defaults of Config.
 const (
-	// DefaultAnswerTime is a round trip to a caller of the same region, and DefaultWakeTime.
-	DefaultAnswerTime = 7 * time.Millisecond
+	// DefaultAnswerTime is a round trip to a caller 3 ms away, a wake-up at its end, and DefaultWakeTime. Too little is worse
+	// than too much: it makes whole answers late.
+	DefaultAnswerTime = 10 * time.Millisecond
 	// DefaultWakeTime is a wake-up, a merge and a write on a shared core.
 	DefaultWakeTime = 3 * time.Millisecond
 	// DefaultHedgeFloor is a round trip between data centres and a wake-up at each end.
 	DefaultHedgeFloor = 6 * time.Millisecond
 	// DefaultHedgeShare leaves the second send three times the time of the first.
 	DefaultHedgeShare = 0.25
+	// DefaultHedgeMost is what the budget of a fleet allows for each request, a ratio of 0.2 less margins.
+	DefaultHedgeMost = 0.12
+	// urgentTimes the time that few sends exceed, before the goal, is the last moment at which a second send comes in time.
+	urgentTimes = 2
 	// DefaultTrySlow shows a process within some requests that a shard has recovered.
 	DefaultTrySlow  = 0.15
 	DefaultWaitStep = 5 * time.Millisecond
@@ -200,6 +210,7 @@
 	cfg.WakeTime = cmp.Or(cfg.WakeTime, DefaultWakeTime)
 	cfg.HedgeFloor = cmp.Or(cfg.HedgeFloor, DefaultHedgeFloor)
 	cfg.HedgeShare = cmp.Or(cfg.HedgeShare, DefaultHedgeShare)
+	cfg.HedgeMost = cmp.Or(cfg.HedgeMost, DefaultHedgeMost)
 	cfg.TrySlow = cmp.Or(cfg.TrySlow, DefaultTrySlow)
 	cfg.WaitStep = cmp.Or(cfg.WaitStep, DefaultWaitStep)
 	cfg.DownAfter = cmp.Or(cfg.DownAfter, DefaultDownAfter)
@@ -452,6 +463,7 @@
 	}
 	p.now = now
 	var out []Action
+	hedgeFrom := p.hedgeFrom()
 	for i := range p.parts {
 		part := &p.parts[i]
 		switch {
@@ -461,7 +473,7 @@
 			if part.open > 0 && len(part.tried) == 1 {
 				p.picker.First(now, part.service)
 			}
-		case part.open == 1 && p.hedgeable(part) && !now.Before(p.hedgeAt(part)):
+		case part.open == 1 && p.hedgeable(part) && !now.Before(hedgeFrom(part)):
 			out = p.dispatch(now, i, out)
 			if part.open == 1 {
 				// Nothing to back it with now; asking again at each tick would only cost time.
@@ -479,15 +491,37 @@
 	return p.route.Kind == table.Safe && part.ran < p.route.Attempts
 }
 
-func (p *Plan) hedgeAt(part *part) time.Time {
-	late := p.picker.Late()
+// hedgeFrom returns the function that says from when on a part is backed by a second send, as things are now.
+func (p *Plan) hedgeFrom() func(part *part) time.Time {
+	high := p.picker.Late()
+	late := high
 	if p.hedgeAfter > 0 {
 		late = min(late, p.hedgeAfter)
 	}
-	return part.sentAt.Add(max(late, p.cfg.HedgeFloor))
+	late = max(late, p.cfg.HedgeFloor)
+	var least time.Time
+	if !p.goal.IsZero() && p.open() > max(int(p.cfg.HedgeMost*float64(len(p.parts))), 1) {
+		least = p.goal.Add(-urgentTimes * high)
+	}
+	return func(part *part) time.Time {
+		if at := part.sentAt.Add(late); at.After(least) {
+			return at
+		}
+		return least
+	}
+}
+
+// open returns the number of parts that have a send open and no reply.
+func (p *Plan) open() (n int) {
+	for i := range p.parts {
+		if part := &p.parts[i]; !part.done && part.open > 0 {
+			n++
+		}
+	}
+	return n
 }
 
-// Wake returns when Tick is next due.
+// Wake returns when Tick is next due. It asks the Picker.
 func (p *Plan) Wake() time.Time {
 	wake := p.deadline
 	sooner := func(t time.Time) {
@@ -498,6 +532,7 @@
 	if !p.goal.IsZero() && p.goal.After(p.now) {
 		sooner(p.goal)
 	}
+	hedgeFrom := p.hedgeFrom()
 	for i := range p.parts {
 		part := &p.parts[i]
 		switch {
@@ -505,7 +540,7 @@
 		case part.waiting:
 			sooner(p.now.Add(p.cfg.WaitStep))
 		case part.open == 1 && p.hedgeable(part):
-			sooner(p.hedgeAt(part))
+			sooner(hedgeFrom(part))
 		}
 	}
 	return wake
--- a/internal/travel/travel.go
+++ b/internal/travel/travel.go
@@ -28,8 +28,10 @@
 	leastSpent = time.Millisecond
 	// mostWay bounds the way: of a continent.
 	mostWay = 40 * time.Millisecond
-	// enoughSpent requests show the least time. The first few of a process that has just started meet busy VMs.
+	// enoughSpent requests show the least time. The first few of a process that has just started meet busy VMs; what they
+	// show is bounded by fewWay, the way between regions that are near each other.
 	enoughSpent = 12
+	fewWay      = 5 * time.Millisecond
 )
 
 // seen is what a number of requests of a route have shown.
@@ -81,7 +83,7 @@
 		least = r.last.least
 	}
 	if r.now.spent+r.last.spent < enoughSpent {
-		return 0
+		return min(least/2, fewWay)
 	}
 	return min(least/2, mostWay)
 }
