--- a/internal/cmds/forward.go
+++ b/internal/cmds/forward.go
@@ -88,7 +88,7 @@
 		Self: n.PeersAddr, Seeds: n.Seeds, DataCentre: n.DataCentre, CallerPort: n.CallersAddr.Port(), Capacity: n.Capacity(), First: n.FirstStart,
 		Names: platform.Names(), Source: store, Decode: platform.Decode,
 		Callers: listeners[n.CallersAddr], Peers: listeners[n.PeersAddr], Log: f.log,
-		Bounds: entry.Bounds{RetryRatio: b.RetryRatio, RetryReserve: b.RetryReserve, RetryWindow: b.RetryWindow, Grace: b.Grace},
+		Bounds: entry.Bounds{RetryRatio: b.RetryRatio, RetryReserve: b.RetryReserve, RetryWindow: b.RetryWindow, Grace: b.Grace, WarmupOverage: b.WarmupOver, WarmupSlack: b.WarmupSlack},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,7 @@
 	keepEvery   = time.Second      // idle connections and memory of targets are looked through
 	reportEvery = 10 * time.Second // totals are logged
 	probeTime   = 400 * time.Millisecond
+	maxColdMS   = 600_000 // longest time, in milliseconds, for which a target may call itself cold
 	eventQueue  = 256
 	// newsDelay collects statements on their way; a few hops stay well below a second.
 	newsDelay = 50 * time.Millisecond
@@ -212,6 +214,9 @@
 	e.board.SetProbers(size)
 	e.mu.Unlock()
 	if old.size != next.size || old.young != next.young || old.view != view || !slices.Equal(old.chosen, next.chosen) {
+		before := *old
+		before.before = nil
+		next.since, next.before = now, &before
 		e.limits.Store(next)
 	}
 }
@@ -401,6 +406,11 @@
 			e.board.Forget(t.ID)
 			e.mu.Unlock()
 		}
+		if t.ColdFor > 0 || known && old.ColdFor > 0 {
+			e.mu.Lock()
+			e.board.Cold(t.ID, time.Now().Add(t.ColdFor))
+			e.mu.Unlock()
+		}
 		if !known || old.Leaving != t.Leaving || old.Addr != t.Addr || old.Service != t.Service {
 			e.Log.Info("target", "target", t.ID, "service", t.Service, "addr", t.Addr, "leaving", t.Leaving, "revision", d.Revision)
 		}
@@ -488,10 +498,17 @@
 	if own {
 		e.heardLeaving(&t, reply.Header)
 	}
+	cold := time.Duration(0)
+	if ms, err := strconv.ParseFloat(reply.Header.Get(e.Names.Warmup), 64); own && err == nil && ms > 0 && ms < maxColdMS {
+		cold = time.Duration(ms * float64(time.Millisecond))
+	}
 	e.mu.Lock()
 	if asked > 0 {
 		e.board.Mute(t.ID, time.Now().Add(asked))
 	}
+	if cold > 0 {
+		e.board.Cold(t.ID, time.Now().Add(cold))
+	}
 	e.board.Probed(time.Now(), t.ID, healthy)
 	e.mu.Unlock()
 	e.Log.Every("probe "+t.ID, 5*time.Second).Info("target that is out was probed", "target", t.ID, "healthy", healthy, "status", reply.Status, "error", err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,7 @@
 	NotRun    string // set by a target that didn't run the request
 	Load      string // "running,waiting,slots"
 	Instance  string // ID of the target that answers
+	Warmup    string // milliseconds for which a target stays cold, on its health page
 	Leaving   string // "1" in the answers of a target that leaves
 	Parts     string // digests of the parts of an answer
 	Missing   string // number of parts left out
@@ -92,6 +93,8 @@
 	RetryReserve float64
 	RetryWindow  time.Duration
 	Grace        time.Duration // between the signal to stop and a kill
+	// A cold target bears Service.WarmupPerSecond x WarmupOverage + WarmupSlack requests in any second.
+	WarmupOverage, WarmupSlack float64
 }
 
 // pingInterval lets three pings fit into the silence after which a process isn't heard any more.
@@ -160,6 +163,8 @@
 	named  bool             // this is one of them
 	view   *table.View
 	mine   map[string]bool // targets of a large fleet that this process uses; filled as they are asked for
+	since  time.Time       // in force
+	before *shares         // in force before
 }
 
 const (
@@ -247,6 +252,7 @@
 		e.limits.Store(newShares(1, false, e.callersAddr(), nil, e.view.Load()))
 		e.callable.Store(&directory{})
 		e.board.SetLimits(func(t *table.Target) int { return e.limits.Load().connections(t) })
+		e.board.SetCold(e.coldPart)
 	})
 }
 
--- a/internal/entry/shares_test.go
+++ b/internal/entry/shares_test.go
@@ -3,8 +3,10 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
 )
@@ -54,3 +56,36 @@
 	assert.Equal(t, sum(80, 8, "a", false), 8*5)
 	assert.Equal(t, sum(80, 8, "a", true), 8*3)
 }
+
+// Whatever the size of the fleet, the processes together send a cold target no more than it bears in any second, also while
+// they differ on who is named: some know of a change of the lineup, the others don't yet.
+func TestColdPartsOfAllProcesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 300).Draw(t, "processes")
+		perSecond := rapid.Float64Range(0.5, 60).Draw(t, "per second")
+		bound := perSecond*1.5 + 5
+		b := table.New()
+		b.SetConfig(table.Config{Version: 1, Services: []table.Service{{Name: "s", WarmupPerSecond: perSecond}}})
+		var all []netip.AddrPort
+		for i := range n {
+			all = append(all, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 1))
+		}
+		named := rapid.IntRange(1, n).Draw(t, "named")
+		before, after := all[:named], all[:max(named-rapid.IntRange(0, 1).Draw(t, "lost"), 1)]
+		target := &table.Target{ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "target"), Service: "s"}
+		sum := 0
+		for _, self := range all {
+			old := newShares(n, false, self, before, b.View())
+			s := old
+			if rapid.Bool().Draw(t, "knows") {
+				s = newShares(n, false, self, after, b.View())
+				s.since, s.before = time.Now(), old
+			}
+			e := &Entry{Bounds: Bounds{WarmupOverage: 1.5, WarmupSlack: 5}}
+			e.limits.Store(s)
+			sum += e.coldPart(target)
+		}
+		assert.Assert(t, float64(sum) <= bound, "%d of %f", sum, bound)
+		assert.Assert(t, sum > 0)
+	})
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -24,6 +24,9 @@
 // Lost targets: refused connections, or silence in a row, take a target out. It comes back after its health page
 // has answered. A target that answers its health page and fails requests is used less, in proportion.
 //
+// Cold targets, which fail under more than a few requests a second: this process sends them no more than its part in any
+// coldWindow. A target counts as cold for as long as its entry or its health page has said.
+//
 // Targets that say when to come back get nothing until then, not even a question for their health.
 package place
 
@@ -93,6 +96,9 @@
 	highPercent   = 0.9
 	highStep      = 0.04
 	unseenStalled = time.Hour
+	// coldWindow is the second in which the requests to a cold target are counted, and what links may take to bring them
+	// closer together.
+	coldWindow = 1200 * time.Millisecond
 )
 
 // Outcome is how a send ended.
@@ -144,6 +150,8 @@
 	down     bool
 	quiet    bool      // out for its silence only
 	mutedTo  time.Time // it has asked to be left alone until then
+	coldTo   time.Time
+	coldSent []time.Time // sends of the last coldWindow, while it is cold
 	downFor  time.Duration
 	probeAt  time.Time
 	probeFor time.Duration // pause before the probe after the next
@@ -160,6 +168,7 @@
 	targets map[string]*target
 	routes  map[string]*usual
 	limits  func(t *table.Target) int
+	cold    func(t *table.Target) int
 	probeX  float64 // factor of the pauses between probes
 	turns   []Turn
 }
@@ -271,6 +280,8 @@
 		return Muted
 	case s != nil && s.down:
 		return Down
+	case s != nil && b.coldFull(now, t, s):
+		return Busy
 	case b.limits == nil:
 		return Usable
 	}
@@ -402,6 +413,9 @@
 func (b *Board) Sent(now time.Time, id string) {
 	s := b.get(id)
 	s.open = append(s.open, now)
+	if now.Before(s.coldTo) {
+		s.coldSent = append(s.coldSent, now)
+	}
 }
 
 func (s *target) closed(sent time.Time) {
@@ -543,6 +557,25 @@
 	return s != nil && s.down
 }
 
+// SetCold sets the function that bounds the sends of this process to a cold target in any second; negative for no bound.
+func (b *Board) SetCold(f func(t *table.Target) int) { b.cold = f }
+
+// Cold says until when a target is cold.
+func (b *Board) Cold(id string, until time.Time) { b.get(id).coldTo = until }
+
+// coldFull reports whether a target is cold and has had this process's part of what it bears.
+func (b *Board) coldFull(now time.Time, t *table.Target, s *target) bool {
+	if b.cold == nil || !now.Before(s.coldTo) {
+		return false
+	}
+	most := b.cold(t)
+	if most < 0 {
+		return false
+	}
+	s.coldSent = slices.DeleteFunc(s.coldSent, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
+	return len(s.coldSent) >= most
+}
+
 // Mute leaves a target alone until a time, as it has asked. A later time that it has named before stands.
 func (b *Board) Mute(id string, until time.Time) {
 	s := b.get(id)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -307,6 +307,30 @@
 	assert.Equal(t, b.Standing(at(5000), list[0]), Usable)
 }
 
+// A cold target gets this process's part in any second, and everything once it is warm.
+func TestColdTarget(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(1)
+	b.SetCold(func(*table.Target) int { return 2 })
+	b.Cold("t0", at(3000))
+	sent := []time.Time{}
+	for now := 0; now < 3000; now += 7 {
+		if b.Standing(at(now), list[0]) == Usable {
+			b.Sent(at(now), "t0")
+			b.Done(at(now+1), "t0", "r", Reply{Outcome: Good, Latency: ms(1)})
+			sent = append(sent, at(now))
+		}
+	}
+	for i := range len(sent) - 2 {
+		assert.Assert(t, sent[i+2].Sub(sent[i]) > time.Second)
+	}
+	assert.Assert(t, len(sent) >= 5)
+	assert.Equal(t, b.Standing(at(3000), list[0]), Usable)
+	b.Cold("t0", at(9000))
+	b.SetCold(func(*table.Target) int { return -1 })
+	assert.Equal(t, b.Standing(at(4000), list[0]), Usable)
+}
+
 // What is said of a service that no target can be picked for: one with too much work is worth a short wait, tried ones
 // aren't.
 func TestWhyNoTarget(t *testing.T) {
