--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -415,6 +415,8 @@
 	s.open = append(s.open, now)
 	if now.Before(s.coldTo) {
 		s.coldSent = append(s.coldSent, now)
+	} else {
+		s.coldSent = nil
 	}
 }
 
