Remember a departure whatever the entry of its target says

Cause: a target that said that it leaves while its entry was gone, or its data centre was out, was not remembered, and would have been used once these were back. Found when reading the change. TestDeparture checks what the fix rests on.

--- a/internal/entry/depart.go
+++ b/internal/entry/depart.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
@@ -24,9 +23,8 @@
 		return
 	}
 	e.pool.Drop(t.ID)
-	listed := slices.ContainsFunc(e.view.Load().Targets(t.Service), func(x *table.Target) bool { return x.ID == t.ID })
-	if !listed {
-		return // known already
+	if e.view.Load().Departs(t) {
+		return
 	}
 	d := table.Departure{Target: t.ID, Started: t.Started}
 	e.control.post(func(c *control, now time.Time) { c.depart(now, []table.Departure{d}, "") })
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -164,8 +164,10 @@
 }
 
 // Departs reports whether a target leaves by its own word.
-func (b *Book) Departs(t Target) bool {
-	since, ok := b.departs[t.ID]
+func (b *Book) Departs(t Target) bool { return departs(b.departs, &t) }
+
+func departs(known map[string]time.Time, t *Target) bool {
+	since, ok := known[t.ID]
 	return ok && !t.Started.After(since)
 }
 
@@ -193,7 +195,7 @@
 	if b.view != nil {
 		return b.view
 	}
-	v := &View{hosts: map[string][]*Route{}, services: map[string]Service{}, targets: map[string][]*Target{}, known: map[string]bool{}, routes: map[string]bool{}}
+	v := &View{hosts: map[string][]*Route{}, services: map[string]Service{}, targets: map[string][]*Target{}, known: map[string]bool{}, routes: map[string]bool{}, departs: maps.Clone(b.departs)}
 	for _, t := range b.targets {
 		if b.Departs(t) {
 			continue
@@ -238,6 +240,7 @@
 	shards   int // least connections of the targets of a shard
 
 	shardCount int // services of gather routes
+	departs    map[string]time.Time
 }
 
 // Match returns the route with the longest prefix of the path among those of the host.
@@ -284,6 +287,9 @@
 // Targets returns the targets of a service that take new requests, by ID. The slice must not be changed.
 func (v *View) Targets(service string) []*Target { return v.targets[service] }
 
+// Departs reports whether a target leaves by its own word, whether it is listed or not.
+func (v *View) Departs(t *Target) bool { return departs(v.departs, t) }
+
 // HasRoute reports whether a route of this name is in force.
 func (v *View) HasRoute(name string) bool { return v.routes[name] }
 
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -96,6 +96,8 @@
 	assert.Equal(t, listed(), 0)
 	assert.Assert(t, !b.View().Known("t1"))
 	b.RemoveTarget("t1")
+	assert.Assert(t, b.View().Departs(&Target{ID: "t1", Started: first}))
+	assert.Assert(t, !b.View().Departs(&Target{ID: "t1", Started: second}))
 	b.SetTarget(Target{ID: "t1", Service: "desk-01", Started: first})
 	assert.Equal(t, listed(), 0)
 	b.SetTarget(Target{ID: "t1", Service: "desk-01", Started: second})
