--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -155,6 +155,9 @@
 	began := time.Now()
 	reply, err := e.pool.Do(r.base, pool.Peer{ID: s.Target.ID, Addr: s.Target.Addr}, r.request(s))
 	took := time.Since(began)
+	if reply.Foreign {
+		e.Log.Every("foreign "+s.Target.ID, time.Second).Warn("a reply to another request was dropped", "request", r.call.id, "target", s.Target.ID, "service", s.Service)
+	}
 	outcome := e.outcome(reply, err)
 	asked := e.askedFor(s.Target.ID, reply)
 	if outcome != place.Replaced {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -222,7 +222,7 @@
 		for _, s := range b.config.Services {
 			v.services[s.Name] = s
 		}
-		v.shards = v.fewestConnections()
+		v.shardConnections = v.fewestConnections()
 		v.shardCount = v.countShards()
 	}
 	b.view = v
@@ -237,10 +237,10 @@
 	targets  map[string][]*Target
 	known    map[string]bool
 	routes   map[string]bool
-	shards   int // least connections of the targets of a shard
+	departs  map[string]time.Time // as in Book
 
-	shardCount int // services of gather routes
-	departs    map[string]time.Time
+	shardConnections int // least that the targets of any shard bear
+	shardCount       int // services of gather routes
 }
 
 // Match returns the route with the longest prefix of the path among those of the host.
@@ -257,7 +257,7 @@
 func (v *View) Service(name string) Service { return v.services[name] }
 
 // ShardConnections returns the least that the targets of any shard of a gather route bear from the fleet; 0 for no bound.
-func (v *View) ShardConnections() int { return v.shards }
+func (v *View) ShardConnections() int { return v.shardConnections }
 
 // Shards returns the number of services that gather routes name.
 func (v *View) Shards() int { return v.shardCount }
