--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -56,7 +56,7 @@
 	addressed  addressBasis    // of the list of callers' addresses
 	busy       bool            // has no room for more requests
 	pauses     []pauseNews     // to tell peers of
-	pausesAt   time.Time       // when
+	pausesAt   time.Time       // when they are told
 	departures []departureNews // to tell peers of
 	pauseRate  *rate.Limiter
 	newsAt     time.Time // when statements are to be passed on; zero: none wait
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -19,13 +19,18 @@
 		if c.crew.Settled(now) {
 			c.crew.Fresh(now, id)
 		} else {
-			p.entry.hub.Tell(id, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+			c.tellSummary(id)
 		}
 		c.tellPauses(now, id)
 		c.tellDepartures(id)
 	})
 }
 
+// tellSummary tells a peer which statements are known here; it answers with those that it knows better.
+func (c *control) tellSummary(id string) {
+	c.entry.hub.Tell(id, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+}
+
 // Ping implements peer.Handler. A ping is a sign of life as well.
 func (p *peerEvents) Ping(from string, m peer.Ping) peer.Pong {
 	e := p.entry
@@ -40,7 +45,7 @@
 		c.sign(now, sent, from)
 		c.compare(now, from, m.AsOf)
 		if c.crew.Differs(now, from, m.Crew) {
-			p.entry.hub.Tell(from, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+			c.tellSummary(from)
 		}
 	})
 }
@@ -58,7 +63,7 @@
 				p.entry.hub.Tell(from, peer.Frame{Crew: &peer.Crew{Statements: newer}})
 			}
 			if c.crew.Lacks(m.Summary) {
-				p.entry.hub.Tell(from, peer.Frame{Crew: &peer.Crew{Summary: c.crew.Summary()}})
+				c.tellSummary(from)
 			}
 		}
 		if len(m.Statements) > 0 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -465,7 +465,7 @@
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
-		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
 			return nil, err
