Tell a target that ended from a connection that was lost

What on-call engineers saw: 'connection lost' for a target that ended under a request, for one that closed or reset a connection, and for a cut; and an id of its own for each copy of a request.

After a lost connection the process now looks whether the target's other connections are closed and its address refuses new ones, once for all sends that were lost there. An open connection is proof that it lives, so that a lost connection alone costs no more than the one that replaces it. Log lines name a fingerprint of the content, which all copies share, and the metrics count.

No decision depends on it yet.

--- a/internal/cmds/forward.go
+++ b/internal/cmds/forward.go
@@ -143,7 +143,7 @@
 // metrics serves the counters and histograms as JSON.
 func (f *forwarder) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	err := json.NewEncoder(w).Encode(map[string]any{"requests": f.entry.Snapshot(), "log_lines_dropped": f.dropped(), "faults": f.entry.Faults()})
+	err := json.NewEncoder(w).Encode(map[string]any{"requests": f.entry.Snapshot(), "crashes": f.entry.Crashes(), "log_lines_dropped": f.dropped(), "faults": f.entry.Faults()})
 	if err != nil {
 		f.log.Every("metrics", time.Second).Warn("metrics not written", "error", err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,7 @@
 	"github.com/fuchsiarelay/fuchsiarelay/internal/logs"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/rhythm"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/spend"
@@ -137,15 +138,17 @@
 	inFlight atomic.Int64
 	asOf     atomic.Uint64 // platform revision of the documents in force
 
-	crewDigest atomic.Uint64 // of the statements that this process knows
-	faults     atomic.Uint64 // of the program, caught by guard
+	crewDigest  atomic.Uint64 // of the statements that this process knows
+	faults      atomic.Uint64 // of the program, caught by guard
+	crashCounts crashCounts
 
-	mu     sync.Mutex // guards the rest
-	board  *place.Board
-	rhythm *rhythm.Board
-	budget *spend.Budget
-	travel *travel.Board
-	rnd    *rand.Rand
+	mu      sync.Mutex // guards the rest
+	board   *place.Board
+	rhythm  *rhythm.Board
+	budget  *spend.Budget
+	travel  *travel.Board
+	crashes *poison.Detector
+	rnd     *rand.Rand
 
 	incarnation uint64
 	limits      atomic.Pointer[shares] // its map is guarded by mu
@@ -247,6 +250,7 @@
 			DataCentre: e.DataCentre, Open: func(id string) bool { return e.pool.Open(id) }, Wait: e.rhythm.Wait,
 		})
 		e.travel = travel.New()
+		e.crashes = poison.New(poison.Config{})
 		e.budget = spend.New(spend.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
 		e.view.Store(table.New().View())
 		e.limits.Store(newShares(1, false, e.callersAddr(), nil, e.view.Load()))
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -164,6 +164,9 @@
 		e.heardLeaving(s.Target, reply.Header)
 	}
 	pause, news := d.learn(began, took, outcome, asked, reply)
+	if lost(err) {
+		d.connectionLost()
+	}
 	e.Stats.ObserveSub(s.Target.ID, subKind(s), subCode(outcome), took)
 	if news {
 		e.sawPause(pause)
@@ -173,7 +176,7 @@
 			// What made this connection silent may have made the others silent too.
 			e.pool.Drop(s.Target.ID)
 		}
-		e.Log.Every("send "+s.Target.ID, time.Second).Info("send failed", "request", r.call.id, "target", s.Target.ID, "service", s.Service,
+		e.Log.Every("send "+s.Target.ID, time.Second).Info("send failed", "request", r.call.id, "content", hexContent(r.call.content), "target", s.Target.ID, "service", s.Service,
 			"outcome", outcome.String(), "status", reply.Status, "took_ms", took.Milliseconds(), "again", s.Again, "error", err)
 	}
 	end := sent{try: s.Try, outcome: outcome}
@@ -243,6 +246,12 @@
 	return codes.OutcomeUnknown
 }
 
+// lost reports whether a send ended with its connection, after the target may have begun to run the request.
+func lost(err error) bool {
+	var failure *pool.Error
+	return errors.As(err, &failure) && failure.Lost
+}
+
 // outcome says what a reply means.
 func (e *Entry) outcome(reply pool.Reply, err error) place.Outcome {
 	var failure *pool.Error
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/merge"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/quest"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
@@ -33,6 +34,7 @@
 // call is one request of a caller.
 type call struct {
 	id      string
+	content uint64 // fingerprint of host, method, path, query and body; copies of a request share it
 	began   time.Time
 	caller  quest.Caller
 	request pool.Request // headers of the caller that targets get
@@ -106,6 +108,7 @@
 	case err != nil:
 		return fail(codes.BadRequest, "the body ended early")
 	}
+	c.content = poison.Fingerprint(r.Host, r.Method+" "+r.RequestURI, string(body))
 	c.request = pool.Request{Method: r.Method, Head: pool.Head(r.Method, r.RequestURI, r.Host, e.forwarded(r.Header), len(body)), Body: body}
 	if route.Kind != table.Safe {
 		c.request.Fresh = unsafeFresh
@@ -288,7 +291,7 @@
 	if c.view.Config != nil {
 		version = c.view.Config.Version
 	}
-	e.Log.Every("request "+code.Name(), logEvery).Info("request", "request", c.id, "route", name, "code", int(code), "outcome", code.Name(),
+	e.Log.Every("request "+code.Name(), logEvery).Info("request", "request", c.id, "content", hexContent(c.content), "route", name, "code", int(code), "outcome", code.Name(),
 		"reason", string(res.finish.Reason), "after", string(res.finish.After), "missing", res.finish.Missing, "missed", res.finish.Missed, "sends", res.sends, "denied", res.finish.Denied, "config", version,
 		"took_ms", took.Milliseconds(), "patience_ms", c.caller.Patience.Milliseconds(), "spent_ms", c.caller.Spent.Milliseconds(), "way_us", c.caller.Way.Microseconds(), "retry_after_ms", res.finish.RetryAfter.Milliseconds())
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -109,6 +109,7 @@
 	cfg       Config
 	now       time.Time // latest time seen
 	records   map[uint64]*record
+	doubts    map[string]*doubt // by target
 	successes [successSlots]Success
 }
 
@@ -119,7 +120,7 @@
 	cfg.Duration = cmp.Or(cfg.Duration, DefaultDuration)
 	cfg.PriorFor = cmp.Or(cfg.PriorFor, DefaultPriorFor)
 	cfg.MaxRecords = cmp.Or(cfg.MaxRecords, DefaultMaxRecords)
-	return &Detector{cfg: cfg, records: map[uint64]*record{}}
+	return &Detector{cfg: cfg, records: map[uint64]*record{}, doubts: map[string]*doubt{}}
 }
 
 // Fingerprint identifies a request by its content. It is never 0, which stands for "no fingerprint".
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 //	reply, err := p.Do(ctx, pool.Peer{ID: t.ID, Addr: t.Addr}, req)
 //	var failure *pool.Error
 //	if errors.As(err, &failure) && failure.Unsent { ... nothing has reached the target ... }
+//	if failure.Lost { ended, err := p.Ended(ctx, peer) ... has the target ended, or only the connection? }
 //
 // Messages are written and parsed by net/http. http.Transport isn't used, since it sends a request again by itself
 // when a kept connection breaks, and doesn't say whether anything was written.
@@ -49,6 +50,7 @@
 	Unused      time.Duration // a connection that has served nothing is kept this long
 	IdleMargin  time.Duration // a connection is given up this long before the time that its target names
 	CheckAfter  time.Duration // a connection idle for longer is checked for a close before it is used
+	Settle      time.Duration // the connections of a target that ends are closed within it
 	MaxBody     int64         // bytes of a reply
 	MaxReading  int64         // bytes of all bodies that are being read
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -65,7 +67,9 @@
 	// DefaultIdleMargin is above the time that a request needs to reach a target, also on a busy core.
 	DefaultIdleMargin = 700 * time.Millisecond
 	DefaultCheckAfter = 10 * time.Millisecond
-	DefaultMaxBody    = 8 << 20
+	// DefaultSettle is several round trips within a region, and below the shortest time in which a process starts again.
+	DefaultSettle  = 10 * time.Millisecond
+	DefaultMaxBody = 8 << 20
 	// DefaultMaxReading is a fifth of the memory of a small VM, 184 MB.
 	DefaultMaxReading = 36 << 20
 )
@@ -137,6 +141,7 @@
 type Error struct {
 	Unsent bool // nothing has been written
 	Silent bool // the time was over before the reply was whole
+	Lost   bool // the target closed or reset the connection before the reply was whole
 	Err    error
 }
 
@@ -157,6 +162,7 @@
 var (
 	errForeign = errors.New("the reply belongs to another request")
 	errEndless = errors.New("the reply is longer than allowed")
+	errUnsure  = errors.New("the target accepts connections and closes them")
 	errMemory  = errors.New("too many bytes of replies are being read")
 )
 
@@ -205,6 +211,7 @@
 	cfg.Unused = cmp.Or(cfg.Unused, DefaultUnused)
 	cfg.IdleMargin = cmp.Or(cfg.IdleMargin, DefaultIdleMargin)
 	cfg.CheckAfter = cmp.Or(cfg.CheckAfter, DefaultCheckAfter)
+	cfg.Settle = cmp.Or(cfg.Settle, DefaultSettle)
 	cfg.MaxBody = cmp.Or(cfg.MaxBody, DefaultMaxBody)
 	cfg.MaxReading = cmp.Or(cfg.MaxReading, DefaultMaxReading)
 	if cfg.DialContext == nil {
@@ -237,6 +244,60 @@
 	return nil
 }
 
+// Ended finds out whether a target has ended after a connection to it was lost: its other connections are closed and its
+// address refuses new ones. A connection that stays open shows that it lives, and is kept. An error says that neither is sure.
+func (p *Pool) Ended(ctx context.Context, to Peer) (bool, error) {
+	if err := p.settle(ctx); err != nil {
+		return false, err
+	}
+	for c := p.take(to.ID); c != nil; c = p.take(to.ID) {
+		if c.quiet() {
+			p.putBack(to.ID, c)
+			return false, nil
+		}
+		_ = c.Close()
+	}
+	c, err := p.dial(ctx, to)
+	switch {
+	case IsRefused(err):
+		return true, nil
+	case err != nil:
+		return false, err
+	}
+	if err := p.settle(ctx); err != nil {
+		_ = c.Close()
+		return false, err
+	}
+	if !c.quiet() {
+		// Closed at once: its listener may have ended only now, or it has too many connections.
+		_ = c.Close()
+		again, err := p.dial(ctx, to)
+		switch {
+		case IsRefused(err):
+			return true, nil
+		case err != nil:
+			return false, err
+		}
+		_ = again.Close()
+		return false, errUnsure
+	}
+	c.until = time.Now().Add(p.cfg.Unused)
+	p.put(to.ID, c)
+	return false, nil
+}
+
+// settle waits until the end of a target has reached all of its connections.
+func (p *Pool) settle(ctx context.Context) error {
+	t := time.NewTimer(p.cfg.Settle)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Open reports whether there is an idle connection to a target.
 func (p *Pool) Open(id string) bool {
 	p.mu.Lock()
@@ -306,6 +367,14 @@
 	return reply, nil
 }
 
+// isLost reports whether the other side has closed or reset the connection.
+func isLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// IsRefused reports whether an error says that nothing listens at the address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
@@ -353,6 +422,11 @@
 
 func (p *Pool) put(id string, c *conn) {
 	c.since = time.Now()
+	p.putBack(id, c)
+}
+
+// putBack keeps a connection that has not been used.
+func (p *Pool) putBack(id string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -394,7 +468,7 @@
 		reply, last, err := p.readReply(c, r.Method)
 		if err != nil {
 			err = cmp.Or(writeErr, err)
-			return Reply{}, false, &Error{Silent: isTimeout(err), Err: errors.Join(foreign, fmt.Errorf("read reply: %w", err))}
+			return Reply{}, false, &Error{Silent: isTimeout(err), Lost: isLost(err), Err: errors.Join(foreign, fmt.Errorf("read reply: %w", err))}
 		}
 		if r.Accept == nil || r.Accept(reply.Status, reply.Header) {
 			reply.Foreign = foreign != nil
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -17,6 +17,34 @@
 	"gotest.tools/v3/assert"
 )
 
+// A target that has ended is told from one that has only closed a connection, and from one that can't be reached.
+func TestLostConnectionOrLostTarget(t *testing.T) {
+	s := serve(t, func(n int64, _ *http.Request) (string, bool) { return ok("x"), n > 1 })
+	p := newPool(t)
+	do(t, p, s, get())
+	ended, err := p.Ended(t.Context(), s.peer)
+	assert.NilError(t, err)
+	assert.Assert(t, !ended, "it accepts a new connection")
+	conns := s.conns.Load()
+	ended, err = p.Ended(t.Context(), s.peer)
+	assert.NilError(t, err)
+	assert.Assert(t, !ended)
+	assert.Equal(t, s.conns.Load(), conns, "the open connection is proof enough")
+
+	closes := accept(t, func(*script, net.Conn) {})
+	closes.peer.ID = "closes"
+	ended, err = p.Ended(t.Context(), closes.peer)
+	assert.ErrorContains(t, err, "closes them")
+	assert.Assert(t, !ended)
+
+	l := listen(t)
+	gone := Peer{ID: "gone", Addr: netip.MustParseAddrPort(l.Addr().String())}
+	assert.NilError(t, l.Close())
+	ended, err = p.Ended(t.Context(), gone)
+	assert.NilError(t, err)
+	assert.Assert(t, ended)
+}
+
 // script is a target that handles each connection as told. The function gets each request and returns the bytes of
 // the reply, and whether to keep the connection.
 type script struct {
