--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -58,6 +58,7 @@
 	pauses     []pauseNews     // to tell peers of
 	pausesAt   time.Time       // when they are told
 	departures []departureNews // to tell peers of
+	reports    reports         // of ended targets, that were passed on
 	pauseRate  *rate.Limiter
 	newsAt     time.Time // when statements are to be passed on; zero: none wait
 	newest     uint64    // revision of the newest documents that a peer has named
@@ -174,6 +175,7 @@
 	e.board.Keep(now, view.Known)
 	e.rhythm.Keep(view.Known)
 	e.travel.Keep(view.HasRoute)
+	e.crashes.Sweep(now)
 }
 
 // publish makes what has changed visible to traffic and peers.
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -2,20 +2,48 @@
 
 import (
 	"context"
+	"math"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/quest"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
 )
 
-// checkTime bounds how long it takes to find out whether a target has ended: a dial that stays unanswered, twice.
-const checkTime = 2*pool.DefaultDialTimeout + 100*time.Millisecond
+const (
+	// checkTime bounds how long it takes to find out whether a target has ended: a dial that stays unanswered, twice.
+	checkTime = 2*pool.DefaultDialTimeout + 100*time.Millisecond
+	// crashesBorne is the users' bound: a request under which so many targets have ended isn't sent on.
+	crashesBorne = 3
+	// crashApart is below the time that a target needs to start again, and above what links and checks take.
+	crashApart = 500 * time.Millisecond
+	// crashDoubted is above the pause of callers before a second attempt, and a small part of their patience.
+	crashDoubted = time.Second
+	// crashPrior is the time in which the copies of a request that callers send again and again are served once.
+	crashPrior = time.Minute
+	// othersSampled connections to other targets, in use within othersWithin, show whether targets end for another cause.
+	othersSampled = 16
+	othersWithin  = 2 * time.Second
+)
+
+// newDetector returns the detector of requests under which targets end.
+func (e *Entry) newDetector() *poison.Detector {
+	return poison.New(poison.Config{
+		Crashes: crashesBorne, Repeated: crashesBorne, Doubted: crashDoubted, Apart: crashApart, PriorFor: crashPrior,
+		Stagger: float64(xxhash.Sum64String(e.Self.String())) / math.MaxUint64,
+	})
+}
 
-// crashCounts counts what was found after connections to targets were lost.
+// crashCounts counts what was found after connections to targets were lost, and what followed.
 type crashCounts struct {
-	lost, ended, unsure atomic.Uint64
+	lost, ended, unsure, quarantined, refused atomic.Uint64
 }
 
 // Crashes are totals since the start of the process.
@@ -23,27 +51,105 @@
 	ConnectionsLost uint64 `json:"connections_lost"` // while a request ran
 	TargetsEnded    uint64 `json:"targets_ended"`    // found after a lost connection
 	Unsure          uint64 `json:"unsure"`           // targets that could not be reached after a lost connection
+	Quarantined     uint64 `json:"quarantined"`      // quarantines that began, also those that peers told of
+	Refused         uint64 `json:"refused"`          // requests that ended unserved because of a quarantine
 }
 
 // Crashes returns the totals.
 func (e *Entry) Crashes() Crashes {
 	n := &e.crashCounts
-	return Crashes{ConnectionsLost: n.lost.Load(), TargetsEnded: n.ended.Load(), Unsure: n.unsure.Load()}
+	return Crashes{
+		ConnectionsLost: n.lost.Load(), TargetsEnded: n.ended.Load(), Unsure: n.unsure.Load(),
+		Quarantined: n.quarantined.Load(), Refused: n.refused.Load(),
+	}
 }
 
 // hexContent is a fingerprint in log lines.
 func hexContent(fp uint64) string { return strconv.FormatUint(fp, 16) }
 
+// divided reports whether the requests of a route go to more than one service.
+func divided(r *table.Route) bool { return len(r.Gather) > 1 || len(r.Split) > 1 }
+
 // fingerprints identify what a send of this call runs at a target of a service: the content of the request, whoever sends it
-// under whatever ID.
-func (c *call) fingerprints(string) []uint64 { return []uint64{c.content} }
+// under whatever ID, and the same at this service only, since it may end the targets of one service and be served by others.
+func (c *call) fingerprints(service string) []uint64 {
+	if !divided(c.route) {
+		return []uint64{c.content}
+	}
+	return []uint64{c.content, c.contentAt(service)}
+}
+
+func (c *call) contentAt(service string) uint64 {
+	return poison.Fingerprint(service, "", strconv.FormatUint(c.content, 16))
+}
 
-// connectionLost is told that a target closed the connection of a send before its reply was whole.
-func (d *delivery) connectionLost() {
+// Suspicion implements quest.Picker.
+func (p *picker) Suspicion(now time.Time, service string) quest.Suspicion {
+	e, c := p.entry, p.call
+	if e.crashes.Quiet() {
+		return quest.Suspicion{}
+	}
+	standing, until := e.crashes.Standing(now, c.content)
+	whole := quest.Suspicion{Standing: standing, Whole: true, Running: e.running[c.content] > 0, Until: until}
+	if standing == poison.Blocked || !divided(c.route) {
+		return whole
+	}
+	at := c.contentAt(service)
+	if standing, until = e.crashes.Standing(now, at); standing > whole.Standing {
+		return quest.Suspicion{Standing: standing, Running: e.running[at] > 0, Until: until}
+	}
+	return whole
+}
+
+// sentOff counts a send that begins. The caller holds mu.
+func (e *Entry) sentOff(fingerprints []uint64) {
+	for _, fp := range fingerprints {
+		e.running[fp]++
+	}
+}
+
+// landed counts a send that has ended.
+func (d *delivery) landed() {
+	e := d.runner.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, fp := range d.send.Fingerprints {
+		if e.running[fp]--; e.running[fp] <= 0 {
+			delete(e.running, fp)
+		}
+	}
+}
+
+// settle takes what the end of a send says of the request. The caller holds mu.
+func (d *delivery) settle(now time.Time, outcome place.Outcome, err error) {
+	e := d.runner.entry
+	switch {
+	case outcome == place.Good:
+		for _, fp := range d.send.Fingerprints {
+			if e.crashes.SucceededAt(now, fp) {
+				d.cleared = append(d.cleared, fp)
+			}
+		}
+	case pool.IsRefused(err):
+		e.crashes.Ended(now, d.send.Target.ID)
+	}
+}
+
+// tellCleared tells peers that the request has succeeded though targets had ended under it.
+func (d *delivery) tellCleared() {
+	e := d.runner.entry
+	for _, fp := range d.cleared {
+		e.Log.Every("cleared", time.Second).Info("request succeeded after targets had ended under it", "request", d.runner.call.id, "content", hexContent(fp), "target", d.send.Target.ID)
+		e.control.post(func(c *control, _ time.Time) { c.pass(peer.Frame{Success: &peer.Success{Fingerprint: fp}}, "") })
+	}
+}
+
+// connectionLost is told that a target closed the connection of a send that began at a time, before its reply was whole.
+func (d *delivery) connectionLost(began time.Time) {
 	e := d.runner.entry
 	e.crashCounts.lost.Add(1)
 	e.mu.Lock()
-	check := e.crashes.Lost(time.Now(), d.send.Target.ID, d.runner.call.fingerprints(d.send.Service))
+	check := e.crashes.Lost(time.Now(), began, d.send.Target.ID, d.send.Fingerprints)
 	e.mu.Unlock()
 	if check {
 		c := &crashCheck{entry: e, target: d.send.Target, request: d.runner.call.id}
@@ -65,8 +171,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), checkTime)
 	defer cancel()
 	ended, err := e.pool.Ended(ctx, pool.Peer{ID: t.ID, Addr: t.Addr})
+	var others []string
+	if ended {
+		others = e.pool.Closed(othersWithin, othersSampled)
+	}
 	e.mu.Lock()
-	crash, _ := e.crashes.Checked(time.Now(), t.ID, ended)
+	now := time.Now()
+	for _, id := range others {
+		e.crashes.Ended(now, id)
+	}
+	crash, report := e.crashes.Checked(now, t.ID, ended)
 	e.mu.Unlock()
 	switch {
 	case err != nil:
@@ -80,6 +194,161 @@
 		for i, fp := range crash.Fingerprints {
 			contents[i] = hexContent(fp)
 		}
-		e.Log.Every("ended "+t.ID, time.Second).Warn("target ended under requests", "target", t.ID, "service", t.Service, "request", c.request, "contents", contents)
+		e.Log.Every("ended "+t.ID, time.Second).Warn("target ended under requests", "target", t.ID, "service", t.Service, "request", c.request, "contents", contents, "others_closed", len(others))
+	}
+	if report {
+		e.control.post(func(c *control, now time.Time) { c.crashed(now, crash, "") })
 	}
 }
+
+// pass tells all peers with a link, except the one that told.
+func (c *control) pass(f peer.Frame, from string) {
+	for _, id := range c.entry.hub.Peers() {
+		if id != from {
+			c.entry.hub.Tell(id, f)
+		}
+	}
+}
+
+// reports remembers the IDs of what was passed on, so that it comes round once. What is older than two spans of reportsFor is
+// forgotten.
+type reports struct {
+	newer, older map[uint64]bool
+	since        time.Time
+}
+
+const (
+	reportsFor  = time.Minute // above the time that a report can be on its way
+	reportsMost = 4096        // of each span
+)
+
+// first reports whether an ID is seen for the first time.
+func (r *reports) first(now time.Time, id uint64) bool {
+	if r.newer == nil || now.Sub(r.since) > reportsFor || len(r.newer) >= reportsMost {
+		r.older, r.newer, r.since = r.newer, map[uint64]bool{}, now
+	}
+	if r.newer[id] || r.older[id] {
+		return false
+	}
+	r.newer[id] = true
+	return true
+}
+
+// crashed takes the end of a target under requests, seen here or by a peer, and passes on what is news.
+func (c *control) crashed(now time.Time, crash poison.Crash, from string) {
+	e := c.entry
+	if !c.reports.first(now, crash.ID) {
+		return
+	}
+	crash.Heard = from != ""
+	e.mu.Lock()
+	news := e.crashes.News(now, crash)
+	begun := e.crashes.Report(now, crash)
+	var known []poison.Success
+	var untold []poison.Quarantine
+	switch {
+	case !crash.Heard:
+	case news:
+		known = e.crashes.RecentSuccesses(now, crash)
+	default:
+		untold = e.crashes.InForce(now, crash)
+	}
+	e.mu.Unlock()
+	for _, q := range untold {
+		e.hub.Tell(from, peer.Frame{Quarantine: wireQuarantine(now, q)})
+	}
+	if news {
+		c.pass(peer.Frame{Crash: wireCrash(now, crash)}, from)
+	}
+	for _, s := range known {
+		// The processes on the way back know of the success from the one that told them.
+		e.hub.Tell(from, peer.Frame{Success: &peer.Success{Fingerprint: s.Fingerprint, AgeMS: ageMS(now, s.Ended)}})
+	}
+	for _, q := range begun {
+		c.reports.first(now, q.ID)
+		c.quarantined(now, q, from)
+		if !crash.Heard {
+			c.pass(peer.Frame{Quarantine: wireQuarantine(now, q)}, "")
+		}
+	}
+}
+
+func (c *control) quarantined(now time.Time, q poison.Quarantine, from string) {
+	c.entry.crashCounts.quarantined.Add(1)
+	c.entry.Log.Every("quarantine", 100*time.Millisecond).Warn("request quarantined", "content", hexContent(q.Fingerprint), "for_ms", q.Until.Sub(now).Milliseconds(),
+		"first_end_ms", ageMS(now, q.Since), "told_by", from)
+}
+
+// tellCrashes tells a peer what requests to hold back, since it may have just started or been cut off.
+func (c *control) tellCrashes(now time.Time, id string) {
+	e := c.entry
+	e.mu.Lock()
+	quarantines, crashes := e.crashes.Quarantines(now), e.crashes.Open(now)
+	e.mu.Unlock()
+	for _, q := range quarantines {
+		e.hub.Tell(id, peer.Frame{Quarantine: wireQuarantine(now, q)})
+	}
+	for _, crash := range crashes {
+		e.hub.Tell(id, peer.Frame{Crash: wireCrash(now, crash)})
+	}
+}
+
+// Crash implements peer.Handler.
+func (p *peerEvents) Crash(from string, m peer.Crash) {
+	p.entry.control.post(func(c *control, now time.Time) {
+		c.crashed(now, poison.Crash{ID: m.ID, Target: m.Target, Incarnation: m.Incarnation, At: agedBy(now, m.AgeMS), Fingerprints: m.Fingerprints}, from)
+	})
+}
+
+// Success implements peer.Handler.
+func (p *peerEvents) Success(from string, m peer.Success) {
+	p.entry.control.post(func(c *control, now time.Time) {
+		c.entry.mu.Lock()
+		news := c.entry.crashes.Exonerate(now, poison.Success{Fingerprint: m.Fingerprint, Ended: agedBy(now, m.AgeMS)})
+		c.entry.mu.Unlock()
+		if news {
+			c.pass(peer.Frame{Success: &m}, from)
+		}
+	})
+}
+
+// Quarantine implements peer.Handler.
+func (p *peerEvents) Quarantine(from string, m peer.Quarantine) {
+	if m.RemainingMS <= 0 {
+		return // this path lifts quarantines by successes only
+	}
+	p.entry.control.post(func(c *control, now time.Time) {
+		if !c.reports.first(now, m.ID) {
+			return
+		}
+		q := poison.Quarantine{
+			ID: m.ID, Fingerprint: m.Fingerprint, Since: agedBy(now, m.SinceAgeMS), Until: now.Add(time.Duration(min(m.RemainingMS, maxRemainingMS)) * time.Millisecond),
+		}
+		c.entry.mu.Lock()
+		news := c.entry.crashes.Learn(now, q)
+		c.entry.mu.Unlock()
+		if news {
+			c.quarantined(now, q, from)
+			c.pass(peer.Frame{Quarantine: wireQuarantine(now, q)}, from)
+		}
+	})
+}
+
+// maxRemainingMS bounds what a peer says before it is multiplied.
+const maxRemainingMS = int64(time.Hour / time.Millisecond)
+
+func wireCrash(now time.Time, c poison.Crash) *peer.Crash {
+	return &peer.Crash{ID: c.ID, Target: c.Target, Incarnation: c.Incarnation, AgeMS: ageMS(now, c.At), Fingerprints: c.Fingerprints}
+}
+
+func wireQuarantine(now time.Time, q poison.Quarantine) *peer.Quarantine {
+	return &peer.Quarantine{ID: q.ID, Fingerprint: q.Fingerprint, RemainingMS: ageMS(q.Until, now), SinceAgeMS: ageMS(now, q.Since)}
+}
+
+// ageMS returns the age of t in milliseconds; 0 if it lies ahead.
+func ageMS(now, t time.Time) int64 { return max(now.Sub(t).Milliseconds(), 0) }
+
+// agedBy returns the time of something that a peer says is so old.
+func agedBy(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(min(max(ms, 0), maxRemainingMS)) * time.Millisecond)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,8 +13,8 @@
 // # Parts
 //
 // The decisions are in pure packages: table (routes), facts (published documents), crew (which processes run), place
-// (targets), rhythm (pauses of targets), spend (repeats), quest (one request). Control.loop owns table, facts and crew and publishes what traffic
-// reads through atomic pointers. One mutex guards place and spend, which each request uses for microseconds.
+// (targets), rhythm (pauses of targets), spend (repeats), poison (requests under which targets end), quest (one request). Control.loop owns table, facts and crew and publishes what traffic
+// reads through atomic pointers. One mutex guards place, spend and poison, which each request uses for microseconds.
 package entry
 
 import (
@@ -148,6 +148,7 @@
 	budget  *spend.Budget
 	travel  *travel.Board
 	crashes *poison.Detector
+	running map[uint64]int // sends that have not ended, by fingerprint
 	rnd     *rand.Rand
 
 	incarnation uint64
@@ -250,7 +251,8 @@
 			DataCentre: e.DataCentre, Open: func(id string) bool { return e.pool.Open(id) }, Wait: e.rhythm.Wait,
 		})
 		e.travel = travel.New()
-		e.crashes = poison.New(poison.Config{})
+		e.crashes = e.newDetector()
+		e.running = map[uint64]int{}
 		e.budget = spend.New(spend.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
 		e.view.Store(table.New().View())
 		e.limits.Store(newShares(1, false, e.callersAddr(), nil, e.view.Load()))
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -23,6 +23,7 @@
 		}
 		c.tellPauses(now, id)
 		c.tellDepartures(id)
+		c.tellCrashes(now, id)
 	})
 }
 
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -95,6 +95,8 @@
 		if a.Send != nil {
 			a.Send.Foreign = r.entry.board.Standing(now, a.Send.Target) == place.Foreign
 			r.entry.board.Sent(now, a.Send.Target.ID)
+			a.Send.Fingerprints = r.call.fingerprints(a.Send.Service)
+			r.entry.sentOff(a.Send.Fingerprints)
 		}
 	}
 	r.wake = r.plan.Wake()
@@ -134,14 +136,16 @@
 
 // delivery makes one send, tells the board how it ended, and hands the reply to the plan.
 type delivery struct {
-	runner *runner
-	send   quest.Send
+	runner  *runner
+	send    quest.Send
+	cleared []uint64 // fingerprints that its success has cleared of suspicion
 }
 
 func (d *delivery) run() {
 	r := d.runner
 	end := sent{try: d.send.Try, outcome: place.Broken}
 	r.entry.guard("send", func() { end = d.exchange() })
+	r.entry.guard("send", d.landed)
 	select {
 	case r.results <- end:
 	case <-r.base.Done(): // the plan has finished
@@ -163,10 +167,11 @@
 	if outcome != place.Replaced {
 		e.heardLeaving(s.Target, reply.Header)
 	}
-	pause, news := d.learn(began, took, outcome, asked, reply)
+	pause, news := d.learn(began, took, outcome, asked, reply, err)
 	if lost(err) {
-		d.connectionLost()
+		d.connectionLost(began)
 	}
+	d.tellCleared()
 	e.Stats.ObserveSub(s.Target.ID, subKind(s), subCode(outcome), took)
 	if news {
 		e.sawPause(pause)
@@ -187,7 +192,7 @@
 }
 
 // learn tells the board how a send ended. It returns the pause of the target that this has shown, if it is news.
-func (d *delivery) learn(began time.Time, took time.Duration, outcome place.Outcome, asked time.Duration, reply pool.Reply) (rhythm.Pause, bool) {
+func (d *delivery) learn(began time.Time, took time.Duration, outcome place.Outcome, asked time.Duration, reply pool.Reply, err error) (rhythm.Pause, bool) {
 	r, id := d.runner, d.send.Target.ID
 	e := r.entry
 	e.mu.Lock()
@@ -202,6 +207,7 @@
 	if asked > 0 {
 		e.board.Mute(id, now.Add(asked))
 	}
+	d.settle(now, outcome, err)
 	if outcome != place.Good {
 		return rhythm.Pause{}, false
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -287,6 +287,9 @@
 	if code == codes.Complete {
 		return
 	}
+	if code == codes.Quarantined {
+		e.crashCounts.refused.Add(1)
+	}
 	var version int64
 	if c.view.Config != nil {
 		version = c.view.Config.Version
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -129,8 +129,10 @@
 	Served []target.Served `cbor:"served,omitempty"`
 }
 
-// Crash says that a target broke off while the fingerprints were running there.
+// Crash says that a target broke off while the fingerprints were running there. ID tells one report from others where peers
+// pass it on; 0 where they don't.
 type Crash struct {
+	ID           uint64   `cbor:"id,omitempty"`
 	Target       string   `cbor:"target"`
 	Incarnation  uint64   `cbor:"incarnation"`
 	AgeMS        int64    `cbor:"age_ms"`
@@ -149,8 +151,9 @@
 	Incarnation uint64 `cbor:"incarnation"`
 }
 
-// Quarantine blocks a fingerprint for the remaining time; 0 lifts the quarantine.
+// Quarantine blocks a fingerprint for the remaining time; 0 lifts the quarantine. ID is as in Crash.
 type Quarantine struct {
+	ID          uint64 `cbor:"id,omitempty"`
 	Fingerprint uint64 `cbor:"fingerprint"`
 	RemainingMS int64  `cbor:"remaining_ms"`
 	SinceAgeMS  int64  `cbor:"since_age_ms"` // age of the first crash that it rests on
--- /dev/null
+++ b/internal/poison/fleet_test.go
@@ -0,0 +1,428 @@
+package poison_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
+)
+
+// fleetConfig is that of a fleet in which each process sends to all targets.
+func fleetConfig(stagger float64) poison.Config {
+	return poison.Config{Crashes: 3, Repeated: 3, Doubted: time.Second, Apart: 500 * time.Millisecond, PriorFor: time.Minute, Stagger: stagger}
+}
+
+func crash(target string, ms int, fps ...uint64) poison.Crash {
+	return poison.Crash{Target: target, At: at(ms), Began: at(ms - 1), Fingerprints: fps}
+}
+
+func standing(d *poison.Detector, ms int, fp uint64) poison.Standing {
+	s, _ := d.Standing(at(ms), fp)
+	return s
+}
+
+// Guards against a copy that is sent while it isn't known yet whether the first two have ended their targets, and against
+// blame for connections that were only cut.
+func TestLostConnectionsAreSettledFirst(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	assert.Assert(t, d.Lost(at(10), at(9), "t1", []uint64{bad}))
+	assert.Assert(t, !d.Lost(at(11), at(9), "t1", []uint64{innocent}), "one check of a target at a time")
+	assert.Equal(t, standing(d, 11, bad), poison.Clear)
+	assert.Assert(t, d.Lost(at(12), at(9), "t2", []uint64{bad}))
+	assert.Equal(t, standing(d, 12, bad), poison.Unsettled)
+	assert.Equal(t, standing(d, 12, innocent), poison.Clear)
+	c, report := d.Checked(at(20), "t1", true)
+	assert.Assert(t, report)
+	assert.DeepEqual(t, c.Fingerprints, []uint64{bad, innocent})
+	d.Report(at(20), c)
+	assert.Equal(t, standing(d, 20, bad), poison.Unsettled)
+	_, report = d.Checked(at(21), "t2", false)
+	assert.Assert(t, !report, "only a connection was lost")
+	assert.Equal(t, standing(d, 21, bad), poison.Clear)
+}
+
+// Guards against telling peers of requests that have been served by the time at which the end of a target is known.
+func TestServedMeanwhile(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	d.Lost(at(10), at(9), "t1", []uint64{innocent})
+	d.SucceededAt(at(15), innocent)
+	_, report := d.Checked(at(20), "t1", true)
+	assert.Assert(t, !report)
+}
+
+// Guards against one end that counts as several because several processes report it, and against several ends of one target
+// that count as one.
+func TestEndsOfOneTarget(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	for ms := 100; ms < 400; ms += 100 {
+		heard := crash("t1", ms, bad)
+		heard.Began, heard.Heard = time.Time{}, true
+		d.Report(at(ms), heard)
+	}
+	assert.Equal(t, standing(d, 400, bad), poison.Clear)
+	d.Report(at(450), crash("t1", 450, bad))
+	assert.Equal(t, standing(d, 450, bad), poison.Suspect, "the target lived again when the request was sent")
+	assert.Equal(t, len(d.Report(at(500), crash("t1", 500, bad))), 1)
+	assert.Equal(t, standing(d, 501, bad), poison.Blocked)
+}
+
+// Guards against a quarantine of a minute for a request that was being served, when all of its targets end for another cause.
+func TestDoubtedFirst(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	d.SucceededAt(at(0), innocent)
+	for i := range 3 {
+		d.Report(at(100+i), crash(fmt.Sprint("t", i), 100+i, innocent))
+	}
+	assert.Equal(t, standing(d, 1000, innocent), poison.Blocked)
+	assert.Equal(t, standing(d, 1200, innocent), poison.Suspect, "it may be tried, alone")
+	assert.Assert(t, d.SucceededAt(at(1250), innocent), "peers must know")
+	assert.Equal(t, standing(d, 1250, innocent), poison.Clear)
+}
+
+// Guards against a second trial of a request that has ended a target at its first.
+func TestTrialThatEndsATarget(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	d.SucceededAt(at(0), bad)
+	for i := range 3 {
+		d.Report(at(100+i), crash(fmt.Sprint("t", i), 100+i, bad))
+	}
+	late := crash("t1", 110, bad)
+	late.Heard = true
+	assert.Equal(t, len(d.Report(at(1200), late)), 0, "a late report of an old end isn't a trial")
+	assert.Equal(t, len(d.Report(at(1300), crash("t4", 1300, bad))), 1)
+	assert.Equal(t, standing(d, 60_000, bad), poison.Blocked)
+	assert.Equal(t, standing(d, 62_000, bad), poison.Suspect)
+	assert.Equal(t, len(d.Report(at(62_100), crash("t4", 62_100, bad))), 1, "still remembered after a minute")
+	assert.Equal(t, standing(d, 100_000, bad), poison.Blocked)
+}
+
+// Guards against a quarantine of a minute for the one request that happened to run at many of the targets that ended.
+func TestWiderThanTheRequest(t *testing.T) {
+	for _, others := range []int{0, 3} {
+		d := poison.New(fleetConfig(0))
+		for i := range others {
+			d.Ended(at(99), fmt.Sprint("other-", i))
+		}
+		for i := range 3 {
+			d.Report(at(100+i), crash(fmt.Sprint("t", i), 100+i, bad))
+		}
+		want := poison.Blocked
+		if others > 0 {
+			want = poison.Suspect
+		}
+		assert.Equal(t, standing(d, 1500, bad), want, "%d others", others)
+	}
+}
+
+// Guards against blame for what happened to run beside a crashing request.
+func TestExplainedCrashes(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	d.Report(at(100), crash("t0", 100, bad, innocent))
+	d.Report(at(101), crash("t1", 101, bad, innocent))
+	d.Report(at(102), crash("t2", 102, bad))
+	assert.Equal(t, standing(d, 103, bad), poison.Blocked)
+	assert.Equal(t, standing(d, 103, innocent), poison.Clear, "what came before the quarantine")
+	for i := range 5 {
+		c := crash(fmt.Sprint("u", i), 200+i, bad, innocent)
+		assert.Assert(t, !d.News(at(200+i), c))
+		d.Report(at(200+i), c)
+	}
+	assert.Equal(t, standing(d, 300, innocent), poison.Clear, "copies that were in flight")
+}
+
+// Guards against the verdict of a process that has only heard of the ends, where those that saw them know better.
+func TestHearsay(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	for i := range 3 {
+		c := crash(fmt.Sprint("t", i), 100+i, bad)
+		c.Heard = true
+		d.Report(at(110), c)
+	}
+	assert.Equal(t, standing(d, 500, bad), poison.Blocked)
+	assert.Equal(t, standing(d, 2000, bad), poison.Suspect)
+	assert.Assert(t, d.Learn(at(600), poison.Quarantine{Fingerprint: bad, Until: at(60_600), Since: at(100)}))
+	assert.Equal(t, standing(d, 2000, bad), poison.Blocked)
+}
+
+// Guards against a peer's quarantine that rests on less than this process knows: the request was served here a moment before.
+func TestPeerDoesNotKnowOfTheSuccess(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	d.SucceededAt(at(0), innocent)
+	d.Learn(at(200), poison.Quarantine{Fingerprint: innocent, Until: at(60_000), Since: at(100)})
+	assert.Equal(t, standing(d, 300, innocent), poison.Blocked)
+	assert.Equal(t, standing(d, 1300, innocent), poison.Suspect)
+}
+
+// Guards against all processes of a fleet trying a request again in the same moment.
+func TestTrialsInTurn(t *testing.T) {
+	first, last := poison.New(fleetConfig(0)), poison.New(fleetConfig(1))
+	for _, d := range []*poison.Detector{first, last} {
+		d.Learn(at(0), poison.Quarantine{Fingerprint: bad, Until: at(60_000), Since: at(0)})
+	}
+	assert.Equal(t, standing(first, 60_001, bad), poison.Suspect)
+	assert.Equal(t, standing(last, 60_001, bad), poison.Blocked)
+	assert.Equal(t, standing(last, 90_001, bad), poison.Suspect)
+}
+
+// Guards against memory and processor time that past crashes cost for good.
+func TestSweep(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	d.Report(at(0), crash("t0", 0, innocent))
+	for i := range 3 {
+		d.Report(at(i), crash(fmt.Sprint("t", i), i, bad))
+	}
+	assert.Equal(t, len(d.Open(at(100))), 0)
+	d.Sweep(at(70_000))
+	assert.Equal(t, d.Len(), 1, "the quarantine is remembered")
+	d.Sweep(at(700_000))
+	assert.Assert(t, d.Quiet())
+}
+
+// fleet is some processes that send to all targets themselves and tell each other what they find out.
+type fleet struct {
+	draw      func(n int) int
+	now       int // ms
+	detectors []*poison.Detector
+	targets   []life
+	news      []news
+	running   []send
+	checks    []check
+	sent      int // sends of the bad request after its third end
+	ends      int // under the bad request
+	third     int // ms; 0: not yet
+	asked     int // by the innocent, hot request, calm
+	served    int
+}
+
+type life struct {
+	down  int // ms until which it is down
+	lives int
+}
+
+type send struct {
+	process, target, life int
+	fp                    uint64
+	began, ends           int
+}
+
+type news struct {
+	at, to int
+	tell   func(d *poison.Detector, now time.Time)
+}
+
+type check struct{ at, process, target int }
+
+const (
+	hop     = 15 // ms until news are at all processes, at most
+	settles = 12 // ms until it is known whether a target has ended
+)
+
+// tell passes something on to all other processes, each after a time of its own.
+func (f *fleet) tell(from int, tell func(d *poison.Detector, now time.Time)) {
+	for to := range f.detectors {
+		if to != from {
+			f.news = append(f.news, news{f.now + 1 + f.draw(hop), to, tell})
+		}
+	}
+}
+
+func (f *fleet) start(process, target int, fp uint64) {
+	d := f.detectors[process]
+	s, _ := d.Standing(at(f.now), fp)
+	mine := slices.ContainsFunc(f.running, func(r send) bool { return r.process == process && r.fp == fp })
+	if s == poison.Blocked || s == poison.Unsettled || s == poison.Suspect && mine || f.targets[target].down > f.now {
+		return
+	}
+	took := 2 + f.draw(20)
+	if fp == bad {
+		took = 1 + f.draw(3)
+		if f.third > 0 {
+			f.sent++
+		}
+	}
+	f.running = append(f.running, send{process, target, f.targets[target].lives, fp, f.now, f.now + took})
+}
+
+// end ends a target: each process notices that its connections are lost.
+func (f *fleet) end(target int) {
+	x := &f.targets[target]
+	x.down, x.lives = f.now+1000+f.draw(3000), x.lives+1
+	var left []send
+	for _, r := range f.running {
+		if r.target != target {
+			left = append(left, r)
+			continue
+		}
+		if f.detectors[r.process].Lost(at(f.now), at(r.began), fmt.Sprint(target), []uint64{r.fp}) {
+			f.checks = append(f.checks, check{f.now + settles, r.process, target})
+		}
+	}
+	f.running = left
+}
+
+func (f *fleet) step() {
+	f.now++
+	for _, n := range f.news {
+		if n.at == f.now {
+			n.tell(f.detectors[n.to], at(f.now))
+		}
+	}
+	f.news = slices.DeleteFunc(f.news, func(n news) bool { return n.at <= f.now })
+	for _, c := range slices.Clone(f.checks) {
+		if c.at == f.now {
+			f.settle(c)
+		}
+	}
+	f.checks = slices.DeleteFunc(f.checks, func(c check) bool { return c.at <= f.now })
+	for _, r := range slices.Clone(f.running) {
+		if r.ends > f.now || f.targets[r.target].lives != r.life {
+			continue
+		}
+		if r.fp == bad {
+			f.ends++
+			if f.ends == 3 {
+				f.third = f.now
+			}
+			f.end(r.target)
+			continue
+		}
+		f.running = slices.DeleteFunc(f.running, func(x send) bool { return x == r })
+		if f.detectors[r.process].SucceededAt(at(f.now), r.fp) {
+			ended := at(f.now)
+			f.tell(r.process, func(d *poison.Detector, now time.Time) {
+				d.Exonerate(now, poison.Success{Fingerprint: r.fp, Ended: ended})
+			})
+		}
+	}
+}
+
+func (f *fleet) settle(c check) {
+	d := f.detectors[c.process]
+	found, report := d.Checked(at(f.now), fmt.Sprint(c.target), true)
+	if !report {
+		return
+	}
+	news := d.News(at(f.now), found)
+	begun := d.Report(at(f.now), found)
+	if news {
+		heard := found
+		heard.Heard, heard.Began = true, time.Time{}
+		f.tell(c.process, func(d *poison.Detector, now time.Time) { d.Report(now, heard) })
+	}
+	for _, q := range begun {
+		f.tell(c.process, func(d *poison.Detector, now time.Time) { d.Learn(now, q) })
+	}
+}
+
+// crashHistory plays a fleet whose targets end under one request, of which copies come all the time, and now and then for
+// another cause, under a frequent innocent request. It returns what is wrong with it.
+func crashHistory(seed uint64, config func(stagger float64) poison.Config) string {
+	draw := rand.New(rand.NewPCG(seed, seed)).IntN
+	processes := 3 + int(seed%6)
+	f := &fleet{draw: draw, targets: make([]life, 6)}
+	for i := range processes {
+		f.detectors = append(f.detectors, poison.New(config(float64(i)/float64(processes))))
+	}
+	gap := 5 + draw(200)
+	for f.now < 20_000 {
+		f.step()
+		if f.now%gap == 0 && f.now > 500 {
+			f.start(draw(processes), draw(len(f.targets)), bad)
+		}
+		if f.now%4 == 0 {
+			p := draw(processes)
+			f.start(p, draw(len(f.targets)), innocent)
+			s, _ := f.detectors[p].Standing(at(f.now), innocent)
+			f.asked++
+			if s == poison.Clear {
+				f.served++
+			}
+		}
+		if draw(2000) == 0 {
+			f.end(draw(len(f.targets)))
+		}
+	}
+	switch {
+	// A trial after a doubted quarantine, and a copy in flight at each process, at the third end and at the trial.
+	case f.sent > 2*processes:
+		return fmt.Sprintf("%d sends after the third end, one copy each %d ms", f.sent, gap)
+	case float64(f.served) < 0.95*float64(f.asked):
+		return fmt.Sprintf("the innocent request was held back in %d of %d cases", f.asked-f.served, f.asked)
+	}
+	return ""
+}
+
+// Guards against a crashing request that is sent on, and against holding back an innocent one that runs at most of its ends.
+func TestCrashHistories(t *testing.T) {
+	for seed := range uint64(30) {
+		assert.Equal(t, crashHistory(seed, fleetConfig), "", "seed %d", seed)
+	}
+	// The check itself: a detector that never acts, and one that forgets within a moment.
+	for name, broken := range map[string]func(c *poison.Config){
+		"never":   func(c *poison.Config) { c.Crashes, c.Repeated = 1<<20, 1<<20 },
+		"forgets": func(c *poison.Config) { c.Duration, c.Doubted = 10*time.Millisecond, 10*time.Millisecond },
+	} {
+		found := 0
+		for seed := range uint64(30) {
+			if crashHistory(seed, func(stagger float64) poison.Config {
+				c := fleetConfig(stagger)
+				broken(&c)
+				return c
+			}) != "" {
+				found++
+			}
+		}
+		t.Logf("%s: found in %d of 30", name, found)
+		assert.Check(t, found > 0, name)
+	}
+}
+
+// Guards against a fault in any order of reports, successes and quarantines, and against what contradicts itself.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := poison.New(fleetConfig(0))
+		now := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.IntRange(0, 3000).Draw(t, "pause")
+			fp := uint64(rapid.IntRange(0, 4).Draw(t, "fp"))
+			target := fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "target"))
+			when := now - rapid.IntRange(-500, 5000).Draw(t, "age")
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0:
+				d.Lost(at(now), at(when), target, []uint64{fp, fp + 1})
+			case 1:
+				if c, ok := d.Checked(at(now), target, true); ok {
+					d.Report(at(now), c)
+				}
+			case 2:
+				c := crash(target, when, fp)
+				c.Heard, c.Began = true, time.Time{}
+				d.Report(at(now), c)
+				assert.Assert(t, !d.News(at(now), c))
+			case 3:
+				d.Exonerate(at(now), poison.Success{Fingerprint: fp, Ended: at(when)})
+			case 4:
+				d.Learn(at(now), poison.Quarantine{Fingerprint: fp, Until: at(now + 30_000), Since: at(when)})
+			case 5:
+				d.Sweep(at(now))
+			case 6:
+				if d.SucceededAt(at(now), fp); fp != 0 {
+					assert.Equal(t, standing(d, now, fp), poison.Clear)
+				}
+			case 7:
+				d.Ended(at(now), target)
+				d.Open(at(now))
+			}
+			s, until := d.Standing(at(now), fp)
+			_, blocked := d.Check(at(now), fp)
+			assert.Equal(t, s == poison.Blocked, blocked)
+			assert.Assert(t, !blocked || until.Sub(at(now)) <= time.Minute)
+		}
+	})
+}
--- a/internal/poison/lost.go
+++ b/internal/poison/lost.go
@@ -11,12 +11,13 @@
 // doubt is a target of which it isn't known yet whether it has ended.
 type doubt struct {
 	at           time.Time // the first connection was lost
+	began        time.Time // of the latest request whose connection was lost
 	fingerprints []uint64
 }
 
-// Lost takes that connections to a target were lost while the fingerprints ran there. If it reports true, the caller
+// Lost takes that a connection to a target was lost while the fingerprints of a request that was sent at began ran there. If it reports true, the caller
 // must find out whether the target has ended, and then call Checked; false means that a caller already does.
-func (d *Detector) Lost(now time.Time, target string, fingerprints []uint64) (check bool) {
+func (d *Detector) Lost(now, began time.Time, target string, fingerprints []uint64) (check bool) {
 	d.advance(now)
 	at := d.doubts[target]
 	if at == nil {
@@ -24,6 +25,9 @@
 		d.doubts[target] = at
 		check = true
 	}
+	if began.After(at.began) && began.Before(at.at) {
+		at.began = began
+	}
 	for _, fp := range fingerprints {
 		if fp != 0 && len(at.fingerprints) < maxLost && !slices.Contains(at.fingerprints, fp) {
 			at.fingerprints = append(at.fingerprints, fp)
@@ -41,7 +45,7 @@
 	if at == nil || !ended {
 		return Crash{}, false
 	}
-	c = Crash{Target: target, At: at.at}
+	c = Crash{ID: d.newID(target, at.at), Target: target, At: at.at, Began: at.began}
 	for _, fp := range at.fingerprints {
 		if at.at.After(d.lastSuccess(fp)) {
 			c.Fingerprints = append(c.Fingerprints, fp)
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -6,6 +6,7 @@
 //	fp := poison.Fingerprint(service, tenant, text)
 //	if until, blocked := d.Check(now, fp); blocked { ... refuse, not run, Retry-After until ... }
 //	if !d.MayRun(now, fp, running) { ... wait or use another target ... }
+//	standing, until := d.Standing(now, fp)  // the same, where it isn't known what else runs at a target
 //
 //	// A connection to a target broke: report the crash and send it to all peers.
 //	c := poison.Crash{Target: "desk-1-t1", Incarnation: 7, At: now, Fingerprints: inFlight}
@@ -26,19 +27,30 @@
 // Suspects run alone, so that a second crash has one explanation. If suspects did run side by side, one that
 // succeeded shortly before is not quarantined as long as another explains the crash.
 //
+// What ran beside a request that is in quarantine isn't suspected for crashes which that explains.
+//
+// # After a quarantine
+//
+// A request stays suspect after its quarantine: it runs alone, and the next crash is enough. The first quarantine may be
+// short (Config.Doubted) where the evidence leaves room for another cause: the request has succeeded lately, targets have
+// ended at the same time where it wasn't running, or only peers have seen the crashes.
+//
 // # Messages
 //
 // Times travel as ages in milliseconds, because clocks need not agree.
 //
-//	crash        target, incarnation, age_ms, fingerprints
+//	crash        id, target, incarnation, age_ms, fingerprints
 //	success      fingerprint, age_ms
-//	quarantine   fingerprint, until_ms, since_age_ms
+//	quarantine   id, fingerprint, remaining_ms, since_age_ms
 //	survived     target, incarnation
 package poison
 
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,8 +59,12 @@
 // Config holds the thresholds. Zero fields take the defaults.
 type Config struct {
 	Crashes    int           // different targets that must crash
+	Repeated   int           // crashes that are enough if they are of fewer targets; 0: one more than Crashes
 	Window     time.Duration // within this time
 	Duration   time.Duration // of a quarantine
+	Doubted    time.Duration // of the first quarantine of a request that may be innocent; 0: Duration
+	Apart      time.Duration // reports on a target of unknown incarnation that are closer count once; 0: all count once
+	Stagger    float64       // 0..1; lengthens the quarantines of this process by up to a half, so that processes try again in turn
 	PriorFor   time.Duration // a success this long before the first crash counts in favour of a request
 	MaxRecords int           // fingerprints under suspicion or in quarantine
 }
@@ -68,14 +84,28 @@
 	maxEvidence = 8
 	// successSlots bounds the memory of successes. A newer fingerprint overwrites an older one in its slot.
 	successSlots = 4096
+	// strikeMemory is how long a quarantine that has ended makes one more crash enough. Callers have given up long before.
+	strikeMemory = 10 * time.Minute
+	// endsFor is the time in which the ends of targets may have one cause.
+	endsFor = time.Second
+	maxEnds = 256
+	// maxFingerprints bounds what is taken of one report of a peer.
+	maxFingerprints = 64
 )
 
 // Crash says that a target broke off while the given fingerprints were running there.
 type Crash struct {
+	ID           uint64 // of the report, for a fleet that passes it on; 0: none
 	Target       string
 	Incarnation  uint64 // that crashed; 0 if unknown
 	At           time.Time
 	Fingerprints []uint64
+	// Began is when the latest of the requests was sent, if that was seen here: the target lived then, so that an earlier
+	// crash is another one.
+	Began time.Time
+	// Heard says that a peer has told. If the peers that saw the crashes judge them better, a quarantine that rests on
+	// hearsay lasts for Config.Doubted only.
+	Heard bool
 }
 
 // Success says that a fingerprint completed on a target.
@@ -86,22 +116,34 @@
 
 // Quarantine blocks one fingerprint until a time.
 type Quarantine struct {
+	ID          uint64 // as in Crash
 	Fingerprint uint64
 	Until       time.Time
 	Since       time.Time // first crash that it rests on; a success that ended later refutes it
 }
 
 type evidence struct {
+	id          uint64
 	target      string
 	incarnation uint64
 	at          time.Time
+	began       time.Time // of the latest request, if the crash was seen here
 }
 
 type record struct {
+	id      uint64 // of the quarantine
 	crashes []evidence
-	until   time.Time // end of the quarantine; zero if there is none
+	until   time.Time // end of the latest quarantine, as peers are told; zero if there was none
+	hold    time.Time // end of it here
 	since   time.Time
 	local   bool // the quarantine rests on crashes kept here
+	strikes int  // quarantines without a success since
+}
+
+// end is a target that was found to have ended, under whatever request.
+type end struct {
+	target string
+	at     time.Time
 }
 
 // Detector counts suspicions per fingerprint.
@@ -110,14 +152,17 @@
 	now       time.Time // latest time seen
 	records   map[uint64]*record
 	doubts    map[string]*doubt // by target
+	ends      []end             // of the last endsFor, one for each target
 	successes [successSlots]Success
 }
 
 // New returns a detector without suspicions.
 func New(cfg Config) *Detector {
 	cfg.Crashes = cmp.Or(cfg.Crashes, DefaultCrashes)
+	cfg.Repeated = cmp.Or(cfg.Repeated, cfg.Crashes+1)
 	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
 	cfg.Duration = cmp.Or(cfg.Duration, DefaultDuration)
+	cfg.Doubted = cmp.Or(cfg.Doubted, cfg.Duration)
 	cfg.PriorFor = cmp.Or(cfg.PriorFor, DefaultPriorFor)
 	cfg.MaxRecords = cmp.Or(cfg.MaxRecords, DefaultMaxRecords)
 	return &Detector{cfg: cfg, records: map[uint64]*record{}, doubts: map[string]*doubt{}}
@@ -146,22 +191,92 @@
 	if d.now.Sub(c.At) > d.cfg.Window {
 		return nil
 	}
+	c.Fingerprints = c.Fingerprints[:min(len(c.Fingerprints), maxFingerprints)]
+	d.Ended(now, c.Target)
+	explained := d.explained(c)
 	for _, fp := range c.Fingerprints {
-		if fp != 0 {
-			d.suspect(fp, evidence{c.Target, c.Incarnation, c.At})
+		if r := d.records[fp]; fp != 0 && (!explained || r != nil && d.inForce(r)) {
+			d.suspect(fp, evidence{c.ID, c.Target, c.Incarnation, c.At, c.Began})
 		}
 	}
 	var out []Quarantine
 	for _, fp := range d.choose(c.Fingerprints) {
 		r := d.records[fp]
-		r.until = d.now.Add(d.cfg.Duration)
 		r.since = first(r.crashes)
+		duration := d.cfg.Duration
+		if r.strikes == 0 && (c.Heard || d.prior(fp, r) || d.wide(fp, r)) {
+			duration = d.cfg.Doubted
+		}
+		r.strikes++
+		d.block(r, d.now.Add(duration))
 		r.local = true
-		out = append(out, Quarantine{fp, r.until, r.since})
+		r.id = d.newID(strconv.FormatUint(fp, 16), r.until)
+		out = append(out, r.quarantine(fp))
+	}
+	for _, q := range out {
+		d.explain(q.Fingerprint)
 	}
 	return out
 }
 
+// explained reports whether a request that is in quarantine already was running at a crash.
+func (d *Detector) explained(c Crash) bool {
+	return slices.ContainsFunc(c.Fingerprints, func(fp uint64) bool {
+		r := d.records[fp]
+		return r != nil && d.inForce(r)
+	})
+}
+
+// explain takes back the suspicions of what ran beside a request at the crashes that it is in quarantine for.
+func (d *Detector) explain(fp uint64) {
+	of := d.records[fp]
+	for other, r := range d.records {
+		if len(r.crashes) == 0 || d.inForce(r) {
+			continue
+		}
+		r.crashes = slices.DeleteFunc(r.crashes, func(e evidence) bool { return d.sameCrash(of, e) >= 0 })
+		d.drop(other, r)
+	}
+}
+
+func (r *record) quarantine(fp uint64) Quarantine {
+	return Quarantine{ID: r.id, Fingerprint: fp, Until: r.until, Since: r.since}
+}
+
+// newID returns an ID for what this process has found out of a subject. Stagger stands for the process.
+func (d *Detector) newID(subject string, at time.Time) uint64 {
+	raw := binary.LittleEndian.AppendUint64(nil, math.Float64bits(d.cfg.Stagger))
+	raw = binary.LittleEndian.AppendUint64(raw, uint64(at.UnixNano()))
+	return max(xxhash.Sum64(append(raw, subject...)), 1)
+}
+
+// block begins a quarantine, or lengthens it.
+func (d *Detector) block(r *record, until time.Time) {
+	r.until = until
+	r.hold = until.Add(time.Duration(d.cfg.Stagger / 2 * float64(until.Sub(d.now))))
+}
+
+// News reports whether a crash says anything that this detector doesn't know and that decides anything: peers needn't be
+// told of one that only concerns requests that are in quarantine, or that have succeeded since.
+func (d *Detector) News(now time.Time, c Crash) bool {
+	d.advance(now)
+	c.At = d.past(c.At)
+	if d.now.Sub(c.At) > d.cfg.Window || d.explained(c) {
+		return false
+	}
+	for _, fp := range c.Fingerprints[:min(len(c.Fingerprints), maxFingerprints)] {
+		r := d.records[fp]
+		switch {
+		case fp == 0 || !c.At.After(d.lastSuccess(fp)):
+		case r == nil:
+			return true
+		case d.sameCrash(r, evidence{c.ID, c.Target, c.Incarnation, c.At, c.Began}) < 0:
+			return true
+		}
+	}
+	return false
+}
+
 // suspect adds one crash to a fingerprint.
 func (d *Detector) suspect(fp uint64, e evidence) {
 	if !e.at.After(d.lastSuccess(fp)) {
@@ -176,13 +291,11 @@
 		d.records[fp] = r
 	}
 	d.prune(fp, r)
-	for i, known := range r.crashes {
-		if known.target == e.target && known.incarnation == e.incarnation {
-			if e.at.Before(known.at) {
-				r.crashes[i].at = e.at
-			}
-			return
+	if i := d.sameCrash(r, e); i >= 0 {
+		if e.at.Before(r.crashes[i].at) {
+			r.crashes[i].at = e.at
 		}
+		return
 	}
 	r.crashes = append(r.crashes, e)
 	if len(r.crashes) > maxEvidence {
@@ -190,10 +303,22 @@
 	}
 }
 
+// sameCrash returns the index of the report that is of the same crash; -1 if there is none.
+func (d *Detector) sameCrash(r *record, e evidence) int {
+	return slices.IndexFunc(r.crashes, func(known evidence) bool {
+		if known.target != e.target || known.incarnation != e.incarnation {
+			return false
+		}
+		if e.incarnation != 0 || d.cfg.Apart == 0 {
+			return true
+		}
+		return e.at.Sub(known.at).Abs() < d.cfg.Apart && !e.began.After(known.at)
+	})
+}
+
 // choose chooses which of the fingerprints in flight at a crash are to be quarantined.
 func (d *Detector) choose(inFlight []uint64) []uint64 {
 	var unsuccessful, successful []uint64
-	explained := false
 	seen := map[uint64]bool{}
 	for _, fp := range inFlight {
 		r := d.records[fp]
@@ -203,7 +328,8 @@
 		seen[fp] = true
 		switch {
 		case d.inForce(r):
-			explained = true
+			// A copy of a request that is already in quarantine was still running there.
+			return nil
 		case !d.enough(r):
 		case d.prior(fp, r):
 			successful = append(successful, fp)
@@ -211,11 +337,7 @@
 			unsuccessful = append(unsuccessful, fp)
 		}
 	}
-	switch {
-	case explained:
-		// A copy of a request that is already in quarantine was still running there.
-		return nil
-	case len(unsuccessful) > 0 || len(successful) > 1:
+	if len(unsuccessful) > 0 || len(successful) > 1 {
 		// Of several suspects that all succeeded lately, none is chosen: they run alone from now on, and the
 		// next crash tells.
 		return unsuccessful
@@ -224,17 +346,31 @@
 }
 
 // enough reports whether the crashes of a fingerprint suffice for a quarantine. A target that crashes again after
-// a restart counts too, but one more crash is needed, because the target itself may be at fault.
+// a restart counts too, but more crashes are needed then, because the target itself may be at fault. One is enough after an
+// earlier quarantine.
 func (d *Detector) enough(r *record) bool {
+	if r.strikes > 0 {
+		return slices.ContainsFunc(r.crashes, func(e evidence) bool { return e.at.After(r.until) })
+	}
 	targets := map[string]bool{}
-	restarts := 0
+	again := 0
 	for _, e := range r.crashes {
 		targets[e.target] = true
-		if e.incarnation != 0 {
-			restarts++
+		if e.incarnation != 0 || d.cfg.Apart > 0 {
+			again++
 		}
 	}
-	return len(targets) >= d.cfg.Crashes || restarts > d.cfg.Crashes
+	return len(targets) >= d.cfg.Crashes || again >= d.cfg.Repeated
+}
+
+// supported reports whether the crashes that are kept still bear out a quarantine in force.
+func (d *Detector) supported(r *record) bool {
+	if r.strikes > 1 {
+		return len(r.crashes) > 0
+	}
+	first := *r
+	first.strikes = 0
+	return d.enough(&first)
 }
 
 // prior reports whether a fingerprint succeeded shortly before its first crash.
@@ -243,6 +379,30 @@
 	return !last.IsZero() && first(r.crashes).Sub(last) <= d.cfg.PriorFor
 }
 
+// Ended takes that a target was found to have ended, under whatever request.
+func (d *Detector) Ended(now time.Time, target string) {
+	d.advance(now)
+	d.ends = slices.DeleteFunc(d.ends, func(e end) bool { return e.target == target || d.now.Sub(e.at) > endsFor })
+	if len(d.ends) < maxEnds {
+		d.ends = append(d.ends, end{target, d.now})
+	}
+}
+
+// wide reports whether so many targets have ended lately where the fingerprint wasn't running that it doesn't explain
+// the ends of the others.
+func (d *Detector) wide(fp uint64, r *record) bool {
+	elsewhere := 0
+	for _, e := range d.ends {
+		doubted := d.doubts[e.target]
+		ran := doubted != nil && slices.Contains(doubted.fingerprints, fp) ||
+			slices.ContainsFunc(r.crashes, func(c evidence) bool { return c.target == e.target })
+		if !ran && d.now.Sub(e.at) <= endsFor {
+			elsewhere++
+		}
+	}
+	return 2*elsewhere >= len(r.crashes)
+}
+
 func first(crashes []evidence) time.Time {
 	var t time.Time
 	for _, e := range crashes {
@@ -253,7 +413,7 @@
 	return t
 }
 
-func (d *Detector) inForce(r *record) bool { return r.until.After(d.now) }
+func (d *Detector) inForce(r *record) bool { return r.hold.After(d.now) }
 
 // Succeeded is SucceededAt at the latest time seen.
 func (d *Detector) Succeeded(fp uint64) { d.SucceededAt(d.now, fp) }
@@ -279,14 +439,20 @@
 	before := len(r.crashes)
 	d.prune(s.Fingerprint, r)
 	cleared = len(r.crashes) < before
-	if d.inForce(r) && !s.Ended.Before(r.since) {
-		r.until = time.Time{}
+	if r.strikes > 0 && !s.Ended.Before(r.since) {
+		r.lift()
 		cleared = true
 	}
 	d.drop(s.Fingerprint, r)
 	return cleared
 }
 
+// lift ends a quarantine, and forgets that there was one.
+func (r *record) lift() {
+	r.until, r.hold = time.Time{}, time.Time{}
+	r.strikes = 0
+}
+
 func (d *Detector) lastSuccess(fp uint64) time.Time {
 	if s := d.successes[fp%successSlots]; s.Fingerprint == fp {
 		return s.Ended
@@ -325,8 +491,8 @@
 		}
 		changed := len(kept) < len(r.crashes)
 		r.crashes = kept
-		if changed && r.local && d.inForce(r) && !d.enough(r) {
-			r.until = time.Time{}
+		if changed && r.local && d.inForce(r) && !d.supported(r) {
+			r.lift()
 			lifted = append(lifted, fp)
 		}
 		d.drop(fp, r)
@@ -364,6 +530,7 @@
 	if q.Since.IsZero() {
 		q.Since = d.now
 	}
+	q.Since = d.past(q.Since)
 	if longest := d.now.Add(d.cfg.Duration); q.Until.After(longest) {
 		q.Until = longest
 	}
@@ -379,14 +546,88 @@
 		r = &record{}
 		d.records[q.Fingerprint] = r
 	}
+	if r.strikes <= 1 && !last.IsZero() && q.Since.Sub(last) <= d.cfg.PriorFor {
+		// The peer may not know of the success.
+		if shortest := d.now.Add(d.cfg.Doubted); q.Until.After(shortest) {
+			q.Until = shortest
+		}
+	}
 	if !q.Until.After(r.until) {
 		return false
 	}
-	r.until = q.Until
+	d.block(r, q.Until)
+	r.id = q.ID
 	r.since = q.Since
+	r.strikes = max(r.strikes, 1)
 	return true
 }
 
+// Standing says how a request may run.
+type Standing uint8
+
+// Standings.
+const (
+	Clear     Standing = iota
+	Suspect            // one more crash would be enough: one copy at a time
+	Unsettled          // the same, and it isn't known yet whether targets have ended under it: not now
+	Blocked            // in quarantine
+)
+
+// Standing returns how a fingerprint may run, and the end of its quarantine if it is blocked.
+func (d *Detector) Standing(now time.Time, fp uint64) (Standing, time.Time) {
+	d.advance(now)
+	r := d.records[fp]
+	if r == nil && len(d.doubts) == 0 {
+		return Clear, time.Time{}
+	}
+	crashes, doubts := 0, 0
+	if r != nil {
+		if d.inForce(r) {
+			return Blocked, r.hold
+		}
+		d.prune(fp, r)
+		crashes = len(r.crashes)
+		if r.strikes > 0 {
+			crashes = max(crashes, d.cfg.Crashes-1)
+		}
+	}
+	last := d.lastSuccess(fp)
+	for _, at := range d.doubts {
+		if at.at.After(last) && slices.Contains(at.fingerprints, fp) {
+			doubts++
+		}
+	}
+	switch {
+	case crashes+doubts < d.cfg.Crashes-1:
+		return Clear, time.Time{}
+	case doubts > 0:
+		return Unsettled, time.Time{}
+	}
+	return Suspect, time.Time{}
+}
+
+// maxOpen bounds what Open returns.
+const maxOpen = 64
+
+// Open returns the crashes of the fingerprints that one more crash would put in quarantine, for a peer that has just
+// started.
+func (d *Detector) Open(now time.Time) (out []Crash) {
+	d.advance(now)
+	for fp, r := range d.records {
+		d.prune(fp, r)
+		if d.inForce(r) || len(r.crashes) < d.cfg.Crashes-1 {
+			continue
+		}
+		for _, e := range r.crashes {
+			if len(out) == maxOpen {
+				return out
+			}
+			out = append(out, Crash{ID: e.id, Target: e.target, Incarnation: e.incarnation, At: e.at, Fingerprints: []uint64{fp}})
+		}
+	}
+	return out
+}
+
 // Check reports whether the fingerprint is blocked, and until when.
 func (d *Detector) Check(now time.Time, fp uint64) (until time.Time, blocked bool) {
 	d.advance(now)
@@ -394,7 +635,7 @@
 	if r == nil || !d.inForce(r) {
 		return time.Time{}, false
 	}
-	return r.until, true
+	return r.hold, true
 }
 
 // Quarantines lists what is blocked now.
@@ -403,12 +644,26 @@
 	var out []Quarantine
 	for fp, r := range d.records {
 		if d.inForce(r) {
-			out = append(out, Quarantine{fp, r.until, r.since})
+			out = append(out, r.quarantine(fp))
 		}
 	}
 	return out
 }
 
+// InForce returns the quarantines of the fingerprints of a crash. A peer that reports it may not know of them.
+func (d *Detector) InForce(now time.Time, c Crash) (out []Quarantine) {
+	d.advance(now)
+	for _, fp := range c.Fingerprints[:min(len(c.Fingerprints), maxFingerprints)] {
+		if r := d.records[fp]; r != nil && d.inForce(r) && r.until.After(d.now) {
+			out = append(out, r.quarantine(fp))
+		}
+	}
+	return out
+}
+
+// Quiet reports whether no request is suspected or in quarantine.
+func (d *Detector) Quiet() bool { return len(d.records) == 0 && len(d.doubts) == 0 }
+
 // Len returns the number of fingerprints held, at most MaxRecords.
 func (d *Detector) Len() int { return len(d.records) }
 
@@ -441,7 +696,7 @@
 
 // drop removes a record that says nothing any more.
 func (d *Detector) drop(fp uint64, r *record) {
-	if len(r.crashes) == 0 && !d.inForce(r) {
+	if len(r.crashes) == 0 && !d.inForce(r) && (r.strikes == 0 || d.now.Sub(r.until) > strikeMemory) {
 		delete(d.records, fp)
 	}
 }
@@ -454,10 +709,14 @@
 	for fp, r := range d.records {
 		d.prune(fp, r)
 		d.drop(fp, r)
-		if d.inForce(r) || len(r.crashes) == 0 {
+		if d.records[fp] == nil || d.inForce(r) {
 			continue
 		}
-		if at := r.crashes[len(r.crashes)-1].at; oldest == 0 || at.Before(oldestAt) {
+		at := r.until
+		if n := len(r.crashes); n > 0 && r.crashes[n-1].at.After(at) {
+			at = r.crashes[n-1].at
+		}
+		if oldest == 0 || at.Before(oldestAt) {
 			oldest, oldestAt = fp, at
 		}
 	}
@@ -467,6 +726,15 @@
 	return len(d.records) < d.cfg.MaxRecords
 }
 
+// Sweep forgets what has expired. It is to be called every second or so.
+func (d *Detector) Sweep(now time.Time) {
+	d.advance(now)
+	for fp, r := range d.records {
+		d.prune(fp, r)
+		d.drop(fp, r)
+	}
+}
+
 // Suspects lists the fingerprints that were running at a crash lately.
 func (d *Detector) Suspects() map[uint64]bool {
 	out := make(map[uint64]bool, len(d.records))
@@ -482,10 +750,10 @@
 func (d *Detector) Lift(now time.Time, fp uint64) {
 	d.advance(now)
 	r := d.records[fp]
-	if r == nil || r.local && d.enough(r) {
+	if r == nil || r.local && d.supported(r) {
 		return
 	}
-	r.until = time.Time{}
+	r.lift()
 	d.prune(fp, r)
 	d.drop(fp, r)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -286,6 +286,26 @@
 	return false, nil
 }
 
+// Closed returns targets that have closed a connection which was in use within the given time, so that it hasn't been closed
+// for being idle. At most most connections are looked at.
+func (p *Pool) Closed(within time.Duration, most int) (ids []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := time.Now().Add(-within)
+	for id, list := range p.idle {
+		if len(list) == 0 || list[len(list)-1].since.Before(since) {
+			continue
+		}
+		if most--; most < 0 {
+			break
+		}
+		if !list[len(list)-1].quiet() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // settle waits until the end of a target has reached all of its connections.
 func (p *Pool) settle(ctx context.Context) error {
 	t := time.NewTimer(p.cfg.Settle)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -21,7 +21,8 @@
 func TestLostConnectionOrLostTarget(t *testing.T) {
 	s := serve(t, func(n int64, _ *http.Request) (string, bool) { return ok("x"), n > 1 })
 	p := newPool(t)
-	do(t, p, s, get())
+	_, failure := do(t, p, s, get())
+	assert.Assert(t, failure == nil)
 	ended, err := p.Ended(t.Context(), s.peer)
 	assert.NilError(t, err)
 	assert.Assert(t, !ended, "it accepts a new connection")
--- a/internal/quest/quest.go
+++ b/internal/quest/quest.go
@@ -30,6 +30,10 @@
 // Muted shards: targets that have asked to be left alone get nothing. A part waits if the first of them is back soon, and is
 // left out otherwise; if too many are, the request is refused at once, with the time at which they are back.
 //
+// Crashing requests: a request under which targets have ended, and which has succeeded nowhere, is sent to one target at a time,
+// so that the next end has one explanation and costs one target; the other parts and copies wait for it. After one more it is
+// in quarantine, and refused before anything is sent.
+//
 // Lost shards: a shard without any usable target is not waited for. If too many are lost, the request is refused
 // before any target works on it, with the time after which trying again makes sense.
 package quest
@@ -40,6 +44,7 @@
 	"time"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
 	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
 )
@@ -56,6 +61,7 @@
 	DownAfter  time.Duration // Retry-After when targets are out
 	BusyAfter  time.Duration // Retry-After when targets have no room
 	MinTry     time.Duration // a send with less time than this is not made
+	HoldFor    time.Duration // a part waits this long for what a send of the same suspect request shows
 }
 
 // Defaults of Config.
@@ -80,6 +86,8 @@
 	DefaultDownAfter = 500 * time.Millisecond
 	// DefaultBusyAfter is the time in which a full queue of a target drains.
 	DefaultBusyAfter = 100 * time.Millisecond
+	// DefaultHoldFor is above the time of nearly all sends, and below the time that callers spare for a second attempt.
+	DefaultHoldFor = 250 * time.Millisecond
 	// DefaultMinTry is below the fastest reply.
 	DefaultMinTry = 4 * time.Millisecond
 )
@@ -103,6 +111,8 @@
 	ReasonBudget      Reason = "retry_budget_used_up"
 	ReasonSlow        Reason = "shard_too_slow_for_the_goal"
 	ReasonUnsafe      Reason = "may_run_only_once"
+	ReasonQuarantined Reason = "targets_ended_under_it"
+	ReasonSuspect     Reason = "waits_for_another_send_of_a_suspect_request"
 	ReasonMuted       Reason = "targets_asked_to_be_left_alone"
 	ReasonUnservable  Reason = "too_many_parts_lost"
 	ReasonLeastFailed Reason = "too_few_parts_answered"
@@ -127,7 +137,9 @@
 	Expected time.Duration // that the reply will take
 	Again    bool          // not the first send of the part
 	Hedge    bool          // backs up one that is still open
-	Foreign  bool          // for the caller of the plan: the target is left to other processes
+	// For the caller of the plan: the target is left to other processes; fingerprints of what the send runs.
+	Foreign      bool
+	Fingerprints []uint64
 }
 
 // Finish ends the plan. Sends that are still open are not needed any more. Code is one of codes.Complete and Partial,
@@ -160,12 +172,22 @@
 	Repeat(now time.Time, service string, failed bool) bool
 	// First counts the first send to a service.
 	First(now time.Time, service string)
+	// Suspicion says whether targets have ended under the request.
+	Suspicion(now time.Time, service string) Suspicion
 	// Chance returns true with a probability.
 	Chance(p float64) bool
 	// Late returns the time after which a send is later than nearly all.
 	Late() time.Duration
 }
 
+// Suspicion is what the ends of targets say of a request at one service, or of the whole request, whichever is worse.
+type Suspicion struct {
+	Standing poison.Standing
+	Whole    bool      // it concerns all parts of the request
+	Running  bool      // a copy is running somewhere, sent by this process
+	Until    time.Time // end of the quarantine
+}
+
 type part struct {
 	service string
 	tried   []string // targets of all sends
@@ -178,7 +200,8 @@
 	failed  int // a try with a target's own failure, or -1
 	waiting bool
 	why     Reason    // why it is lost or waits
-	back    time.Time // when its targets may be used again, if they have asked to be left alone
+	held    time.Time // since when it waits for another send of the request
+	back    time.Time // when its targets may be used again, if they have asked to be left alone, or the end of the quarantine
 	after   Reason    // how its last send ended
 }
 
@@ -216,6 +239,7 @@
 	cfg.DownAfter = cmp.Or(cfg.DownAfter, DefaultDownAfter)
 	cfg.BusyAfter = cmp.Or(cfg.BusyAfter, DefaultBusyAfter)
 	cfg.MinTry = cmp.Or(cfg.MinTry, DefaultMinTry)
+	cfg.HoldFor = cmp.Or(cfg.HoldFor, DefaultHoldFor)
 	patience := caller.Patience
 	if route.Timeout > 0 {
 		patience = min(patience, route.Timeout)
@@ -320,6 +344,9 @@
 		p.lose(part, ReasonAttempts)
 		return out
 	}
+	if !p.mayRun(now, part) {
+		return out
+	}
 	again := len(part.tried) > 0
 	t, expected, standing := p.picker.Pick(now, part.service, part.tried)
 	if t == nil {
@@ -338,6 +365,32 @@
 	return append(out, Action{Send: p.send(now, i, t, left, again, expected)})
 }
 
+// mayRun reports whether a part may be sent now, as far as targets have not ended under the request. If not, the part is lost
+// or waits.
+func (p *Plan) mayRun(now time.Time, part *part) bool {
+	s := p.picker.Suspicion(now, part.service)
+	running := s.Running || part.open > 0 || s.Whole && p.open() > 0
+	switch {
+	case s.Standing == poison.Clear || s.Standing == poison.Suspect && !running:
+		part.held = time.Time{}
+		return true
+	case s.Standing == poison.Blocked:
+		part.back = s.Until
+		p.lose(part, ReasonQuarantined)
+		return false
+	case part.open > 0:
+		return false
+	case part.held.IsZero():
+		part.held = now
+	case now.Sub(part.held) >= p.cfg.HoldFor:
+		p.lose(part, ReasonSuspect)
+		return false
+	}
+	part.waiting = true
+	part.why = ReasonSuspect
+	return false
+}
+
 // wait decides what becomes of a part without a target: it waits if one may be usable soon.
 func (p *Plan) wait(now time.Time, part *part, standing place.Standing, usable time.Duration) {
 	switch {
@@ -613,13 +666,17 @@
 	}
 	f := &Finish{Code: codes.NoTarget, Reason: why, Missing: len(p.parts), RetryAfter: p.cfg.DownAfter}
 	for i := range p.parts {
-		if part := &p.parts[i]; part.lost && (part.why == ReasonBusy || part.why == ReasonMuted) {
+		if part := &p.parts[i]; part.lost && (part.why == ReasonBusy || part.why == ReasonMuted || part.why == ReasonSuspect) {
 			f.Code, f.RetryAfter = codes.Overloaded, p.cfg.BusyAfter
 		}
 	}
 	// Coming back before the last of them would be in vain.
 	for i := range p.parts {
-		if part := &p.parts[i]; part.lost && part.why == ReasonMuted {
+		part := &p.parts[i]
+		if part.lost && part.why == ReasonQuarantined {
+			f.Code, f.Reason = codes.Quarantined, ReasonQuarantined
+		}
+		if part.lost && (part.why == ReasonMuted || part.why == ReasonQuarantined) {
 			f.RetryAfter = max(f.RetryAfter, part.back.Sub(p.now))
 		}
 	}
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
 	"github.com/fuchsiarelay/fuchsiarelay/pkg/codes"
 )
@@ -21,6 +22,7 @@
 	repeats  int            // budget
 	firsts   int
 	expected map[string]time.Duration
+	suspect  map[string]Suspicion // by service
 }
 
 func (p *fakePicker) Pick(_ time.Time, service string, tried []string) (*table.Target, time.Duration, place.Standing) {
@@ -37,6 +39,8 @@
 	return p.repeats >= 0
 }
 
+func (p *fakePicker) Suspicion(_ time.Time, service string) Suspicion { return p.suspect[service] }
+
 func (p *fakePicker) First(time.Time, string) { p.firsts++ }
 
 func (p *fakePicker) Chance(float64) bool { return false }
@@ -394,3 +398,73 @@
 		assert.Equal(t, len(sends(p.Done(at(1), 0, outcome))), sent, outcome.String())
 	}
 }
+
+func search() *table.Route {
+	return &table.Route{Name: "search", Kind: table.Safe, Gather: []string{"s1", "s2"}, Attempts: 2, Least: 0.5, Goal: 300 * time.Millisecond}
+}
+
+// Guards against a suspect request that is sent to several targets at once, with its parts, second sends or copies.
+func TestSuspectRunsAlone(t *testing.T) {
+	p := picker("s1", "s2")
+	alone := Suspicion{Standing: poison.Suspect, Whole: true}
+	p.suspect = map[string]Suspicion{"s1": alone, "s2": alone}
+	plan := New(Config{}, search(), []string{"s1", "s2"}, p, at(0), Caller{Patience: time.Second})
+	first := sends(plan.Start(at(0)))
+	assert.Equal(t, len(first), 1)
+	for ms := 5; ms < 200; ms += 5 {
+		assert.Equal(t, len(sends(plan.Tick(at(ms)))), 0, "no second send, no other part")
+	}
+	p.suspect = nil // its success clears it
+	plan.Done(at(200), first[0].Try, place.Good)
+	rest := sends(plan.Tick(at(205)))
+	assert.Equal(t, len(rest), 1)
+	assert.Equal(t, rest[0].Service, "s2")
+	f := finish(t, plan.Done(at(210), rest[0].Try, place.Good))
+	assert.Equal(t, f.Code, codes.Complete)
+}
+
+// Guards against a copy that waits until its deadline for another one.
+func TestCopyOfSuspectIsGivenUp(t *testing.T) {
+	p := picker("b")
+	p.suspect = map[string]Suspicion{"b": {Standing: poison.Suspect, Whole: true, Running: true}}
+	plan := New(Config{}, &table.Route{Name: "b", Kind: table.Safe, Attempts: 2}, []string{"b"}, p, at(0), Caller{Patience: 10 * time.Second})
+	assert.Equal(t, len(plan.Start(at(0))), 0)
+	assert.Equal(t, len(plan.Tick(at(200))), 0)
+	f := finish(t, plan.Tick(at(250)))
+	assert.Equal(t, f.Code.Ran(), codes.NotRun)
+	assert.Assert(t, f.RetryAfter > 0)
+}
+
+// Guards against a request in quarantine that is sent, held back, or refused without the time to come back; and against one
+// that is said not to have run after a send.
+func TestQuarantinedRequest(t *testing.T) {
+	p := picker("s1", "s2")
+	blocked := Suspicion{Standing: poison.Blocked, Whole: true, Until: at(60_000)}
+	p.suspect = map[string]Suspicion{"s1": blocked, "s2": blocked}
+	actions := New(Config{}, search(), []string{"s1", "s2"}, p, at(0), Caller{Patience: time.Second}).Start(at(0))
+	assert.Equal(t, len(sends(actions)), 0)
+	f := finish(t, actions)
+	assert.Equal(t, f.Code, codes.Quarantined)
+	assert.Equal(t, f.RetryAfter, time.Minute)
+
+	p.suspect = nil
+	plan := New(Config{}, search(), []string{"s1", "s2"}, p, at(0), Caller{Patience: time.Second})
+	first := sends(plan.Start(at(0)))
+	assert.Equal(t, len(first), 2)
+	p.suspect = map[string]Suspicion{"s1": blocked, "s2": blocked}
+	assert.Equal(t, len(sends(plan.Done(at(5), first[0].Try, place.Broken))), 0)
+	f = finish(t, plan.Done(at(6), first[1].Try, place.Broken))
+	assert.Equal(t, f.Code, codes.OutcomeUnknown)
+}
+
+// Guards against losing a whole search to a request that ends the targets of one shard.
+func TestQuarantineAtOneShard(t *testing.T) {
+	p := picker("s1", "s2")
+	p.suspect = map[string]Suspicion{"s2": {Standing: poison.Blocked, Until: at(60_000)}}
+	plan := New(Config{}, search(), []string{"s1", "s2"}, p, at(0), Caller{Patience: time.Second})
+	first := sends(plan.Start(at(0)))
+	assert.Equal(t, len(first), 1)
+	f := finish(t, plan.Done(at(5), first[0].Try, place.Good))
+	assert.Equal(t, f.Code, codes.Partial)
+	assert.DeepEqual(t, f.Missed, []string{"s2:" + string(ReasonQuarantined)})
+}
--- a/internal/quest/sim_test.go
+++ b/internal/quest/sim_test.go
@@ -269,6 +269,8 @@
 	return nil, wait, standing
 }
 
+func (p *simPicker) Suspicion(time.Time, string) Suspicion { return Suspicion{} }
+
 func (p *simPicker) Chance(x float64) bool {
 	return !p.front.sim.plain && p.front.sim.rnd.Float64() < x
 }
