Connections that targets close for being idle are no ends

The log said others_closed 1: a connection that was opened ahead and never used, which its target had closed after its own time-out, counted as a target that had ended for another cause.

Only connections that have served a request within the last second are looked at now, and a target whose connection is closed counts as ended only if its address refuses. Test: pool.TestOthersEnded.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -30,7 +30,7 @@
 	crashPrior = time.Minute
 	// othersSampled connections to other targets, in use within othersWithin, show whether targets end for another cause.
 	othersSampled = 16
-	othersWithin  = 2 * time.Second
+	othersWithin  = time.Second
 )
 
 // newDetector returns the detector of requests under which targets end.
@@ -173,7 +173,7 @@
 	ended, err := e.pool.Ended(ctx, pool.Peer{ID: t.ID, Addr: t.Addr})
 	var others []string
 	if ended {
-		others = e.pool.Closed(othersWithin, othersSampled)
+		others = e.pool.OthersEnded(ctx, othersWithin, othersSampled)
 	}
 	e.mu.Lock()
 	now := time.Now()
@@ -194,7 +194,7 @@
 		for i, fp := range crash.Fingerprints {
 			contents[i] = hexContent(fp)
 		}
-		e.Log.Every("ended "+t.ID, time.Second).Warn("target ended under requests", "target", t.ID, "service", t.Service, "request", c.request, "contents", contents, "others_closed", len(others))
+		e.Log.Every("ended "+t.ID, time.Second).Warn("target ended under requests", "target", t.ID, "service", t.Service, "request", c.request, "contents", contents, "others_ended", len(others))
 	}
 	if report {
 		e.control.post(func(c *control, now time.Time) { c.crashed(now, crash, "") })
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -171,6 +171,7 @@
 	reader *bufio.Reader
 	left   int64     // bytes that may be read from the connection
 	since  time.Time // idle since
+	served bool      // a request
 	until  time.Time // must not be used later
 }
 
@@ -286,24 +287,47 @@
 	return false, nil
 }
 
-// Closed returns targets that have closed a connection which was in use within the given time, so that it hasn't been closed
-// for being idle. At most most connections are looked at.
-func (p *Pool) Closed(within time.Duration, most int) (ids []string) {
+// OthersEnded returns targets that have ended though nothing was being sent to them: connections that were in use within the
+// given time are closed, and the address refuses new ones. Most bounds the connections that are looked at.
+func (p *Pool) OthersEnded(ctx context.Context, within time.Duration, most int) (ids []string) {
+	for _, to := range p.cutOff(within, most) {
+		c, err := p.dial(ctx, to)
+		switch {
+		case IsRefused(err):
+			ids = append(ids, to.ID)
+		case err == nil:
+			c.until = time.Now().Add(p.cfg.Unused)
+			p.put(to.ID, c)
+		}
+	}
+	return ids
+}
+
+// maxRedials bounds the closed connections that are dialled anew to see why.
+const maxRedials = 3
+
+// cutOff returns targets that have closed a connection which has served a request lately, so that it was not closed for being
+// idle.
+func (p *Pool) cutOff(within time.Duration, most int) (peers []Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	since := time.Now().Add(-within)
 	for id, list := range p.idle {
-		if len(list) == 0 || list[len(list)-1].since.Before(since) {
+		if len(list) == 0 || len(peers) == maxRedials {
+			continue
+		}
+		c := list[len(list)-1]
+		if !c.served || c.since.Before(since) {
 			continue
 		}
 		if most--; most < 0 {
 			break
 		}
-		if !list[len(list)-1].quiet() {
-			ids = append(ids, id)
+		if addr, err := netip.ParseAddrPort(c.RemoteAddr().String()); err == nil && !c.quiet() {
+			peers = append(peers, Peer{id, addr})
 		}
 	}
-	return ids
+	return peers
 }
 
 // settle waits until the end of a target has reached all of its connections.
@@ -492,6 +516,7 @@
 		}
 		if r.Accept == nil || r.Accept(reply.Status, reply.Header) {
 			reply.Foreign = foreign != nil
+			c.served = true
 			keep = writeErr == nil && foreign == nil && !r.Once && !last && c.reader.Buffered() == 0
 			c.until = time.Now().Add(p.keepFor(reply.Header))
 			return reply, keep, nil
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -46,6 +46,40 @@
 	assert.Assert(t, ended)
 }
 
+// Other targets count as ended only if they are: not those that close idle connections, or ones that were never used.
+func TestOthersEnded(t *testing.T) {
+	p := newPool(t)
+	lives := serve(t, func(int64, *http.Request) (string, bool) { return ok("x"), true })
+	lives.peer.ID = "lives"
+	closes := serve(t, func(int64, *http.Request) (string, bool) { return ok("x"), false })
+	closes.peer.ID = "closes"
+	unused := accept(t, func(*script, net.Conn) {})
+	unused.peer.ID = "unused"
+	for _, s := range []*script{lives, closes} {
+		_, failure := do(t, p, s, get())
+		assert.Assert(t, failure == nil)
+	}
+	assert.NilError(t, p.Warm(t.Context(), unused.peer))
+
+	l := listen(t)
+	ends := Peer{ID: "ends", Addr: netip.MustParseAddrPort(l.Addr().String())}
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, ok("x"))
+		accepted <- c
+	}()
+	_, err := p.Do(t.Context(), ends, get())
+	assert.NilError(t, err)
+	_, _ = l.Close(), (<-accepted).Close()
+	time.Sleep(20 * time.Millisecond)
+	assert.DeepEqual(t, p.OthersEnded(t.Context(), time.Second, 16), []string{"ends"})
+}
+
 // script is a target that handles each connection as told. The function gets each request and returns the bytes of
 // the reply, and whether to keep the connection.
 type script struct {
