A quarantine that has ended is remembered on the path with dispatchers as well

After a quarantine of a minute the request counted as any other, and could crash two more targets, each minute.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -500,14 +500,15 @@
 	return lifted
 }
 
-// Suspected reports whether the fingerprint was running at a crash within the window, without a success since.
+// Suspected reports whether the fingerprint was running at a crash within the window, or was in quarantine, without a
+// success since.
 func (d *Detector) Suspected(fp uint64) bool {
 	r := d.records[fp]
 	if r == nil {
 		return false
 	}
 	d.prune(fp, r)
-	return len(r.crashes) > 0
+	return len(r.crashes) > 0 || r.strikes > 0
 }
 
 // MayRun reports whether a fingerprint may start on a target where the given ones are running. Suspects run alone.
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -118,6 +118,17 @@
 	assert.Assert(t, blocked(d, at(1000), bad))
 }
 
+// Guards against a quarantine whose end lets the request crash as many targets as before it.
+func TestQuarantineIsRemembered(t *testing.T) {
+	d := poison.New(poison.Config{})
+	d.Crashed(at(0), "t1", []uint64{bad})
+	d.Crashed(at(1), "t2", []uint64{bad})
+	assert.Assert(t, !blocked(d, at(60_500), bad))
+	assert.Assert(t, d.Suspected(bad))
+	d.Crashed(at(60_600), "t3", []uint64{bad})
+	assert.Assert(t, blocked(d, at(60_601), bad))
+}
+
 // detector is what a fleet of entry processes asks.
 type detector interface {
 	Report(now time.Time, c poison.Crash) []poison.Quarantine
