Ends under a request are not forgotten after a minute

Copies that come less often than once a minute, each ending one or two targets, never added up to three. Ends that no success refutes are kept for ten minutes, as long as a quarantine is remembered; the number of records is bounded as before. poison.TestSeldomCopies fails with the window of a minute.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -23,6 +23,8 @@
 	// crashesBorne is the users' bound: a request under which so many targets have ended isn't sent on.
 	crashesBorne = 3
 	// crashApart is below the time that a target needs to start again, and above what links and checks take.
+	// crashWindow is above the pauses between copies of a request; there is no reason to forget an end that no success refutes.
+	crashWindow = 10 * time.Minute
 	crashApart = 500 * time.Millisecond
 	// crashDoubted is above the pause of callers before a second attempt, and a small part of their patience.
 	crashDoubted = time.Second
@@ -36,7 +38,7 @@
 // newDetector returns the detector of requests under which targets end.
 func (e *Entry) newDetector() *poison.Detector {
 	return poison.New(poison.Config{
-		Crashes: crashesBorne, Repeated: crashesBorne, Doubted: crashDoubted, Apart: crashApart, PriorFor: crashPrior,
+		Crashes: crashesBorne, Repeated: crashesBorne, Window: crashWindow, Doubted: crashDoubted, Apart: crashApart, PriorFor: crashPrior,
 		Stagger: float64(xxhash.Sum64String(e.Self.String())) / math.MaxUint64,
 	})
 }
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -15,7 +15,7 @@
 
 // fleetConfig is that of a fleet in which each process sends to all targets.
 func fleetConfig(stagger float64) poison.Config {
-	return poison.Config{Crashes: 3, Repeated: 3, Doubted: time.Second, Apart: 500 * time.Millisecond, PriorFor: time.Minute, Stagger: stagger}
+	return poison.Config{Crashes: 3, Repeated: 3, Window: 10 * time.Minute, Doubted: time.Second, Apart: 500 * time.Millisecond, PriorFor: time.Minute, Stagger: stagger}
 }
 
 func crash(target string, ms int, fps ...uint64) poison.Crash {
@@ -159,6 +159,31 @@
 	assert.Equal(t, standing(d, 1300, innocent), poison.Suspect)
 }
 
+// Guards against copies that come so seldom that the ends under earlier ones are forgotten.
+func TestSeldomCopies(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	for i := range 3 {
+		assert.Assert(t, !blocked(d, at(100_000*i), bad))
+		d.Report(at(100_000*i), crash("t1", 100_000*i, bad))
+	}
+	assert.Assert(t, blocked(d, at(200_001), bad))
+}
+
+// Guards against a lasting quarantine of a request that targets in trouble keep ending under, like many others.
+func TestTrialAmongOtherEnds(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	pause := 1000
+	for ms := 0; ms < 100_000; ms += pause + 100 {
+		for i := range 3 {
+			d.Ended(at(ms), fmt.Sprint("other-", i))
+			d.Report(at(ms), crash(fmt.Sprint("t", i), ms, innocent))
+		}
+		assert.Equal(t, standing(d, ms+pause-1, innocent), poison.Blocked)
+		assert.Equal(t, standing(d, ms+pause, innocent), poison.Suspect)
+		pause = min(2*pause, 60_000)
+	}
+}
+
 // Guards against all processes of a fleet trying a request again in the same moment.
 func TestTrialsInTurn(t *testing.T) {
 	first, last := poison.New(fleetConfig(0)), poison.New(fleetConfig(1))
