Ends under requests cost peers less, and don't excuse each other

Two crashing requests at once each took the other's ends for another cause (TestTwoCrashingRequests): ends that a request which has been in quarantine explains don't count any more. While targets keep ending without a request, its quarantines double instead of lasting a minute. Fingerprints don't copy bodies, and records are dropped in batches.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsiarelay/fuchsiarelay/internal/facts"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/lineup"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
 	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
@@ -59,6 +60,7 @@
 	pausesAt   time.Time       // when they are told
 	departures []departureNews // to tell peers of
 	reports    reports         // of ended targets, that were passed on
+	untold     []poison.Crash  // ends of targets that peers may have to know of
 	pauseRate  *rate.Limiter
 	newsAt     time.Time // when statements are to be passed on; zero: none wait
 	newest     uint64    // revision of the newest documents that a peer has named
@@ -151,6 +153,7 @@
 		c.sendDepartures()
 	}
 	c.sendPauses(now)
+	c.tellEnds(now)
 	c.answerSyncs(now)
 	c.probe(now)
 	if now.Sub(c.reportedAt) >= reportEvery {
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,9 +23,9 @@
 	checkTime = 2*pool.DefaultDialTimeout + 100*time.Millisecond
 	// crashesBorne is the users' bound: a request under which so many targets have ended isn't sent on.
 	crashesBorne = 3
-	// crashApart is below the time that a target needs to start again, and above what links and checks take.
 	// crashWindow is above the pauses between copies of a request; there is no reason to forget an end that no success refutes.
 	crashWindow = 10 * time.Minute
+	// crashApart is below the time that a target needs to start again, and above what links and checks take.
 	crashApart = 500 * time.Millisecond
 	// crashDoubted is above the pause of callers before a second attempt, and a small part of their patience.
 	crashDoubted = time.Second
@@ -113,6 +114,9 @@
 // landed counts a send that has ended.
 func (d *delivery) landed() {
 	e := d.runner.entry
+	if d.lost {
+		defer e.control.post(func(c *control, now time.Time) { c.tellEnds(now) })
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, fp := range d.send.Fingerprints {
@@ -127,8 +131,12 @@
 	e := d.runner.entry
 	switch {
 	case outcome == place.Good:
-		for _, fp := range d.send.Fingerprints {
-			if e.crashes.SucceededAt(now, fp) {
+		for i, fp := range d.send.Fingerprints {
+			// The success of the whole request is kept in its favour; there is no room for that of each part.
+			if i > 0 && !e.crashes.Concerns(fp) {
+				continue
+			}
+			if shared := e.crashes.Shared(fp); e.crashes.SucceededAt(now, fp) && shared {
 				d.cleared = append(d.cleared, fp)
 			}
 		}
@@ -150,6 +158,7 @@
 func (d *delivery) connectionLost(began time.Time) {
 	e := d.runner.entry
 	e.crashCounts.lost.Add(1)
+	d.lost = true
 	e.mu.Lock()
 	check := e.crashes.Lost(time.Now(), began, d.send.Target.ID, d.send.Fingerprints)
 	e.mu.Unlock()
@@ -259,8 +268,13 @@
 	for _, q := range untold {
 		e.hub.Tell(from, peer.Frame{Quarantine: wireQuarantine(now, q)})
 	}
-	if news {
+	switch {
+	case !news:
+	case crash.Heard:
 		c.pass(peer.Frame{Crash: wireCrash(now, crash)}, from)
+	default:
+		c.untold = append(c.untold, crash)
+		c.tellEnds(now)
 	}
 	for _, s := range known {
 		// The processes on the way back know of the success from the one that told them.
@@ -275,6 +289,31 @@
 	}
 }
 
+// tellEnds tells peers of the ends that this process has seen, and that count against requests which have not succeeded since.
+// One waits while other sends of these requests are running here, whose success would take it back, unless a request is suspect
+// already.
+func (c *control) tellEnds(now time.Time) {
+	e := c.entry
+	var tell []poison.Crash
+	e.mu.Lock()
+	c.untold = slices.DeleteFunc(c.untold, func(crash poison.Crash) bool {
+		crash.Fingerprints = e.crashes.Held(now, crash)
+		due := now.Sub(crash.At) >= quest.DefaultHoldFor || slices.ContainsFunc(crash.Fingerprints, func(fp uint64) bool {
+			standing, _ := e.crashes.Standing(now, fp)
+			return standing != poison.Clear || e.running[fp] == 0
+		})
+		if due && len(crash.Fingerprints) > 0 {
+			e.crashes.Told(crash)
+			tell = append(tell, crash)
+		}
+		return due || len(crash.Fingerprints) == 0
+	})
+	e.mu.Unlock()
+	for _, crash := range tell {
+		c.pass(peer.Frame{Crash: wireCrash(now, crash)}, "")
+	}
+}
+
 func (c *control) quarantined(now time.Time, q poison.Quarantine, from string) {
 	c.entry.crashCounts.quarantined.Add(1)
 	c.entry.Log.Every("quarantine", 100*time.Millisecond).Warn("request quarantined", "content", hexContent(q.Fingerprint), "for_ms", q.Until.Sub(now).Milliseconds(),
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -138,7 +138,8 @@
 type delivery struct {
 	runner  *runner
 	send    quest.Send
-	cleared []uint64 // fingerprints that its success has cleared of suspicion
+	lost    bool     // its connection, before the reply was whole
+	cleared []uint64 // fingerprints that its success has cleared of suspicion, as peers must know
 }
 
 func (d *delivery) run() {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -12,10 +12,11 @@
 	kindPauses
 	kindSync
 	kindWork
+	kindCrash
 	kinds
 )
 
-var kindNames = [kinds]string{"other", "ping", "crew", "pauses", "sync", "work"}
+var kindNames = [kinds]string{"other", "ping", "crew", "pauses", "sync", "work", "crash"}
 
 func kindOf(f Frame) int {
 	switch {
@@ -29,6 +30,8 @@
 		return kindSync
 	case f.Work != nil || f.WorkReply != nil || f.Order != nil || f.OrderReply != nil:
 		return kindWork
+	case f.Crash != nil || f.Success != nil || f.Survived != nil || f.Quarantine != nil:
+		return kindCrash
 	}
 	return kindOther
 }
@@ -38,7 +41,7 @@
 	frames, bytes [kinds]atomic.Uint64
 }
 
-// Traffic is what a hub has written, by kind of frame: crew, ping, pauses, sync, work or other.
+// Traffic is what a hub has written, by kind of frame: crew, ping, pauses, sync, work, crash or other.
 type Traffic map[string]struct{ Frames, Bytes uint64 }
 
 // Traffic returns the totals since the start.
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -184,6 +184,22 @@
 	}
 }
 
+// Guards against two crashing requests that each make the other look innocent for good.
+func TestTwoCrashingRequests(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	ends := map[uint64]int{}
+	for ms := 0; ms < 50_000; ms += 50 {
+		fp := []uint64{bad, innocent}[ms/50%2] // here, both crash what runs them
+		if standing(d, ms, fp) == poison.Blocked {
+			continue
+		}
+		ends[fp]++
+		d.Report(at(ms), crash(fmt.Sprint("t", ms/50%6), ms, fp))
+	}
+	// Three, and the trial after the doubted quarantine.
+	assert.Assert(t, ends[bad] <= 4 && ends[innocent] <= 4, "%v", ends)
+}
+
 // Guards against all processes of a fleet trying a request again in the same moment.
 func TestTrialsInTurn(t *testing.T) {
 	first, last := poison.New(fleetConfig(0)), poison.New(fleetConfig(1))
@@ -202,7 +218,7 @@
 	for i := range 3 {
 		d.Report(at(i), crash(fmt.Sprint("t", i), i, bad))
 	}
-	assert.Equal(t, len(d.Open(at(100))), 0)
+	assert.Equal(t, len(d.Open(at(100))), 0, "the quarantine explains the other's crash")
 	d.Sweep(at(70_000))
 	assert.Equal(t, d.Len(), 1, "the quarantine is remembered")
 	d.Sweep(at(700_000))
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -86,6 +86,8 @@
 	successSlots = 4096
 	// strikeMemory is how long a quarantine that has ended makes one more crash enough. Callers have given up long before.
 	strikeMemory = 10 * time.Minute
+	// maxDoublings keeps Doubted from overflowing; Duration bounds it long before.
+	maxDoublings = 16
 	// endsFor is the time in which the ends of targets may have one cause.
 	endsFor = time.Second
 	maxEnds = 256
@@ -138,12 +140,14 @@
 	since   time.Time
 	local   bool // the quarantine rests on crashes kept here
 	strikes int  // quarantines without a success since
+	shared  bool // peers know of some of it
 }
 
 // end is a target that was found to have ended, under whatever request.
 type end struct {
-	target string
-	at     time.Time
+	target       string
+	at           time.Time
+	fingerprints []uint64 // that are known to have run there
 }
 
 // Detector counts suspicions per fingerprint.
@@ -169,14 +173,16 @@
 }
 
 // Fingerprint identifies a request by its content. It is never 0, which stands for "no fingerprint".
-func Fingerprint(service, tenant, text string) uint64 {
+func Fingerprint[T string | []byte](service, tenant string, text T) uint64 {
 	// Lengths keep the fields apart whatever characters they hold.
-	raw := binary.AppendUvarint(nil, uint64(len(service)))
-	raw = append(raw, service...)
-	raw = binary.AppendUvarint(raw, uint64(len(tenant)))
-	raw = append(raw, tenant...)
-	raw = append(raw, text...)
-	return max(xxhash.Sum64(raw), 1)
+	var length [binary.MaxVarintLen64]byte
+	h := xxhash.New()
+	for _, field := range []string{service, tenant} {
+		_, _ = h.Write(length[:binary.PutUvarint(length[:], uint64(len(field)))])
+		_, _ = h.WriteString(field)
+	}
+	_, _ = h.Write([]byte(text)) // a hash doesn't fail
+	return max(h.Sum64(), 1)
 }
 
 // Crashed records a crash of an unknown incarnation that was seen here. It returns the new quarantines.
@@ -192,24 +198,23 @@
 		return nil
 	}
 	c.Fingerprints = c.Fingerprints[:min(len(c.Fingerprints), maxFingerprints)]
-	d.Ended(now, c.Target)
+	d.ended(now, c.Target, c.Fingerprints)
 	explained := d.explained(c)
 	for _, fp := range c.Fingerprints {
 		if r := d.records[fp]; fp != 0 && (!explained || r != nil && d.inForce(r)) {
 			d.suspect(fp, evidence{c.ID, c.Target, c.Incarnation, c.At, c.Began})
 		}
 	}
+	if c.Heard {
+		d.Told(c)
+	}
 	var out []Quarantine
 	for _, fp := range d.choose(c.Fingerprints) {
 		r := d.records[fp]
 		r.since = first(r.crashes)
-		duration := d.cfg.Duration
-		if r.strikes == 0 && (c.Heard || d.prior(fp, r) || d.wide(fp, r)) {
-			duration = d.cfg.Doubted
-		}
+		d.block(r, d.now.Add(d.duration(fp, r, c.Heard)))
 		r.strikes++
-		d.block(r, d.now.Add(duration))
-		r.local = true
+		r.local, r.shared = true, true
 		r.id = d.newID(strconv.FormatUint(fp, 16), r.until)
 		out = append(out, r.quarantine(fp))
 	}
@@ -239,6 +244,17 @@
 	}
 }
 
+// duration returns how long a quarantine that begins now lasts.
+func (d *Detector) duration(fp uint64, r *record, heard bool) time.Duration {
+	switch {
+	case d.wide(fp, r):
+		return min(d.cfg.Doubted<<min(r.strikes, maxDoublings), d.cfg.Duration)
+	case r.strikes == 0 && (heard || d.prior(fp, r)):
+		return d.cfg.Doubted
+	}
+	return d.cfg.Duration
+}
+
 func (r *record) quarantine(fp uint64) Quarantine {
 	return Quarantine{ID: r.id, Fingerprint: fp, Until: r.until, Since: r.since}
 }
@@ -350,7 +366,7 @@
 // earlier quarantine.
 func (d *Detector) enough(r *record) bool {
 	if r.strikes > 0 {
-		return slices.ContainsFunc(r.crashes, func(e evidence) bool { return e.at.After(r.until) })
+		return slices.ContainsFunc(r.crashes, func(e evidence) bool { return !e.at.Before(r.until) })
 	}
 	targets := map[string]bool{}
 	again := 0
@@ -380,27 +396,42 @@
 }
 
 // Ended takes that a target was found to have ended, under whatever request.
-func (d *Detector) Ended(now time.Time, target string) {
+func (d *Detector) Ended(now time.Time, target string) { d.ended(now, target, nil) }
+
+func (d *Detector) ended(now time.Time, target string, fingerprints []uint64) {
 	d.advance(now)
-	d.ends = slices.DeleteFunc(d.ends, func(e end) bool { return e.target == target || d.now.Sub(e.at) > endsFor })
-	if len(d.ends) < maxEnds {
-		d.ends = append(d.ends, end{target, d.now})
+	d.ends = slices.DeleteFunc(d.ends, func(e end) bool { return d.now.Sub(e.at) > endsFor })
+	i := slices.IndexFunc(d.ends, func(e end) bool { return e.target == target })
+	if i < 0 {
+		if len(d.ends) == maxEnds {
+			return
+		}
+		d.ends = append(d.ends, end{target: target})
+		i = len(d.ends) - 1
 	}
+	d.ends[i].at = d.now
+	d.ends[i].fingerprints = append(d.ends[i].fingerprints, fingerprints...)
 }
 
-// wide reports whether so many targets have ended lately where the fingerprint wasn't running that it doesn't explain
-// the ends of the others.
+// wide reports whether so many targets have ended in the last moment where the fingerprint wasn't running that it
+// doesn't explain the ends of the others. Ends under a request that has been in quarantine before are explained by that.
 func (d *Detector) wide(fp uint64, r *record) bool {
-	elsewhere := 0
+	here, elsewhere := 0, 0
 	for _, e := range d.ends {
-		doubted := d.doubts[e.target]
-		ran := doubted != nil && slices.Contains(doubted.fingerprints, fp) ||
-			slices.ContainsFunc(r.crashes, func(c evidence) bool { return c.target == e.target })
-		if !ran && d.now.Sub(e.at) <= endsFor {
+		ran := slices.Clone(e.fingerprints)
+		if doubted := d.doubts[e.target]; doubted != nil {
+			ran = append(ran, doubted.fingerprints...)
+		}
+		switch {
+		case d.now.Sub(e.at) > endsFor:
+		case slices.Contains(ran, fp) || slices.ContainsFunc(r.crashes, func(c evidence) bool { return c.target == e.target }):
+			here++
+		case slices.ContainsFunc(ran, func(other uint64) bool { return d.records[other] != nil && d.records[other].strikes > 0 }):
+		default:
 			elsewhere++
 		}
 	}
-	return 2*elsewhere >= len(r.crashes)
+	return elsewhere > 0 && 2*elsewhere >= here
 }
 
 func first(crashes []evidence) time.Time {
@@ -560,6 +591,7 @@
 	r.id = q.ID
 	r.since = q.Since
 	r.strikes = max(r.strikes, 1)
+	r.shared = true
 	return true
 }
 
@@ -607,20 +639,28 @@
 	return Suspect, time.Time{}
 }
 
-// maxOpen bounds what Open returns.
-const maxOpen = 64
+// Bounds of what Open returns: crashes of fingerprints that one more would put in quarantine, and of others.
+const (
+	maxOpen  = 64
+	maxFaint = 16
+)
 
-// Open returns the crashes of the fingerprints that one more crash would put in quarantine, for a peer that has just
-// started.
+// Open returns crashes of fingerprints that aren't in quarantine, for a peer that has just started or was cut off.
 func (d *Detector) Open(now time.Time) (out []Crash) {
 	d.advance(now)
+	faint := 0
 	for fp, r := range d.records {
 		d.prune(fp, r)
-		if d.inForce(r) || len(r.crashes) < d.cfg.Crashes-1 {
+		if d.inForce(r) {
 			continue
 		}
+		if len(r.crashes) < d.cfg.Crashes-1 {
+			if faint += len(r.crashes); faint > maxFaint {
+				continue
+			}
+		}
 		for _, e := range r.crashes {
-			if len(out) == maxOpen {
+			if len(out) == maxOpen+maxFaint {
 				return out
 			}
 			out = append(out, Crash{ID: e.id, Target: e.target, Incarnation: e.incarnation, At: e.at, Fingerprints: []uint64{fp}})
@@ -662,6 +702,50 @@
 	return out
 }
 
+// Told takes that peers know of a crash.
+func (d *Detector) Told(c Crash) {
+	for _, fp := range c.Fingerprints {
+		if r := d.records[fp]; r != nil {
+			r.shared = true
+		}
+	}
+}
+
+// Shared reports whether peers know of a suspicion of the fingerprint, or of its quarantine.
+func (d *Detector) Shared(fp uint64) bool {
+	r := d.records[fp]
+	return r != nil && r.shared
+}
+
+// Held returns the fingerprints that a crash which was reported here still counts against.
+func (d *Detector) Held(now time.Time, c Crash) (fps []uint64) {
+	d.advance(now)
+	for _, fp := range c.Fingerprints {
+		r := d.records[fp]
+		if r == nil || d.inForce(r) {
+			continue
+		}
+		d.prune(fp, r)
+		if slices.ContainsFunc(r.crashes, func(e evidence) bool { return e.id == c.ID }) {
+			fps = append(fps, fp)
+		}
+	}
+	return fps
+}
+
+// Concerns reports whether a success of the fingerprint would clear it of anything.
+func (d *Detector) Concerns(fp uint64) bool {
+	if d.records[fp] != nil {
+		return true
+	}
+	for _, at := range d.doubts {
+		if slices.Contains(at.fingerprints, fp) {
+			return true
+		}
+	}
+	return false
+}
+
 // Quiet reports whether no request is suspected or in quarantine.
 func (d *Detector) Quiet() bool { return len(d.records) == 0 && len(d.doubts) == 0 }
 
@@ -702,27 +786,36 @@
 	}
 }
 
-// evict makes room for one record and reports whether it could. It drops what has expired, else the suspicion
-// that has been quiet for longest; quarantines in force stay.
+// evictShare is the part of the records that is dropped when there are too many, so that each isn't paid for with a look
+// through all of them.
+const evictShare = 8
+
+// evict makes room and reports whether it could. It drops what has expired, and the suspicions that have been quiet for
+// longest; quarantines in force stay.
 func (d *Detector) evict() bool {
-	var oldest uint64
-	var oldestAt time.Time
+	type idle struct {
+		fp    uint64
+		since time.Time
+	}
+	var quiet []idle
 	for fp, r := range d.records {
 		d.prune(fp, r)
 		d.drop(fp, r)
 		if d.records[fp] == nil || d.inForce(r) {
 			continue
 		}
-		at := r.until
-		if n := len(r.crashes); n > 0 && r.crashes[n-1].at.After(at) {
-			at = r.crashes[n-1].at
-		}
-		if oldest == 0 || at.Before(oldestAt) {
-			oldest, oldestAt = fp, at
+		since := r.until
+		if n := len(r.crashes); n > 0 && r.crashes[n-1].at.After(since) {
+			since = r.crashes[n-1].at
 		}
+		quiet = append(quiet, idle{fp, since})
 	}
-	if len(d.records) >= d.cfg.MaxRecords {
-		delete(d.records, oldest)
+	slices.SortFunc(quiet, func(a, b idle) int { return a.since.Compare(b.since) })
+	for _, x := range quiet {
+		if len(d.records) < d.cfg.MaxRecords-d.cfg.MaxRecords/evictShare {
+			break
+		}
+		delete(d.records, x.fp)
 	}
 	return len(d.records) < d.cfg.MaxRecords
 }
