No gap between a doubted end and a suspicion

The end of a target was taken back as a doubt by the goroutine that had found it out, and counted as an end by the control loop, later if that was busy. In between a copy found the request clear. Both are one step under one lock now; only the telling is left to the loop. A look at other targets takes 50 ms at most, since copies wait for the result, and a check that never ends is forgotten after 5 s (TestCheckThatNeverEnds). Found by reading; seen by no test.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -34,6 +34,8 @@
 	// othersSampled connections to other targets, in use within othersWithin, show whether targets end for another cause.
 	othersSampled = 16
 	othersWithin  = time.Second
+	// othersTime is a round trip within a region, on a busy machine.
+	othersTime = 50 * time.Millisecond
 )
 
 // newDetector returns the detector of requests under which targets end.
@@ -115,6 +117,7 @@
 func (d *delivery) landed() {
 	e := d.runner.entry
 	if d.lost {
+		// After the unlock: an end may wait for this.
 		defer e.control.post(func(c *control, now time.Time) { c.tellEnds(now) })
 	}
 	e.mu.Lock()
@@ -184,15 +187,9 @@
 	ended, err := e.pool.Ended(ctx, pool.Peer{ID: t.ID, Addr: t.Addr})
 	var others []string
 	if ended {
-		others = e.pool.OthersEnded(ctx, othersWithin, othersSampled)
+		others = c.others(ctx)
 	}
-	e.mu.Lock()
-	now := time.Now()
-	for _, id := range others {
-		e.crashes.Ended(now, id)
-	}
-	crash, report := e.crashes.Checked(now, t.ID, ended)
-	e.mu.Unlock()
+	crash, news, begun := c.report(ended, others)
 	switch {
 	case err != nil:
 		e.crashCounts.unsure.Add(1)
@@ -207,11 +204,35 @@
 		}
 		e.Log.Every("ended "+t.ID, time.Second).Warn("target ended under requests", "target", t.ID, "service", t.Service, "request", c.request, "contents", contents, "others_ended", len(others))
 	}
-	if report {
-		e.control.post(func(c *control, now time.Time) { c.crashed(now, crash, "") })
+	if news || len(begun) > 0 {
+		e.control.post(func(c *control, now time.Time) { c.sawCrash(now, crash, news, begun) })
 	}
 }
 
+// others returns other targets that have ended as well.
+func (c *crashCheck) others(ctx context.Context) []string {
+	ctx, cancel := context.WithTimeout(ctx, othersTime)
+	defer cancel()
+	return c.entry.pool.OthersEnded(ctx, othersWithin, othersSampled)
+}
+
+// report hands what was found to the detector, in one step, so that no copy slips through between doubt and suspicion.
+func (c *crashCheck) report(ended bool, others []string) (crash poison.Crash, news bool, begun []poison.Quarantine) {
+	e := c.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	for _, id := range others {
+		e.crashes.Ended(now, id)
+	}
+	crash, report := e.crashes.Checked(now, c.target.ID, ended)
+	if !report {
+		return crash, false, nil
+	}
+	news = e.crashes.News(now, crash)
+	return crash, news, e.crashes.Report(now, crash)
+}
+
 // pass tells all peers with a link, except the one that told.
 func (c *control) pass(f peer.Frame, from string) {
 	for _, id := range c.entry.hub.Peers() {
@@ -245,48 +266,49 @@
 	return true
 }
 
-// crashed takes the end of a target under requests, seen here or by a peer, and passes on what is news.
-func (c *control) crashed(now time.Time, crash poison.Crash, from string) {
+// sawCrash tells peers of the end of a target that was reported here.
+func (c *control) sawCrash(now time.Time, crash poison.Crash, news bool, begun []poison.Quarantine) {
+	c.reports.first(now, crash.ID)
+	if news {
+		c.untold = append(c.untold, crash)
+		c.tellEnds(now)
+	}
+	for _, q := range begun {
+		c.reports.first(now, q.ID)
+		c.quarantined(now, q, "")
+		c.pass(peer.Frame{Quarantine: wireQuarantine(now, q)}, "")
+	}
+}
+
+// heardCrash takes the end of a target that a peer tells of, and passes it on if it is news.
+func (c *control) heardCrash(now time.Time, crash poison.Crash, from string) {
 	e := c.entry
 	if !c.reports.first(now, crash.ID) {
 		return
 	}
-	crash.Heard = from != ""
+	var known []poison.Success
+	var untold []poison.Quarantine
 	e.mu.Lock()
 	news := e.crashes.News(now, crash)
 	begun := e.crashes.Report(now, crash)
-	var known []poison.Success
-	var untold []poison.Quarantine
-	switch {
-	case !crash.Heard:
-	case news:
+	if news {
 		known = e.crashes.RecentSuccesses(now, crash)
-	default:
+	} else {
 		untold = e.crashes.InForce(now, crash)
 	}
 	e.mu.Unlock()
+	if news {
+		c.pass(peer.Frame{Crash: wireCrash(now, crash)}, from)
+	}
+	for _, q := range begun {
+		c.quarantined(now, q, from)
+	}
 	for _, q := range untold {
 		e.hub.Tell(from, peer.Frame{Quarantine: wireQuarantine(now, q)})
 	}
-	switch {
-	case !news:
-	case crash.Heard:
-		c.pass(peer.Frame{Crash: wireCrash(now, crash)}, from)
-	default:
-		c.untold = append(c.untold, crash)
-		c.tellEnds(now)
-	}
 	for _, s := range known {
-		// The processes on the way back know of the success from the one that told them.
 		e.hub.Tell(from, peer.Frame{Success: &peer.Success{Fingerprint: s.Fingerprint, AgeMS: ageMS(now, s.Ended)}})
 	}
-	for _, q := range begun {
-		c.reports.first(now, q.ID)
-		c.quarantined(now, q, from)
-		if !crash.Heard {
-			c.pass(peer.Frame{Quarantine: wireQuarantine(now, q)}, "")
-		}
-	}
 }
 
 // tellEnds tells peers of the ends that this process has seen, and that count against requests which have not succeeded since.
@@ -337,7 +359,9 @@
 // Crash implements peer.Handler.
 func (p *peerEvents) Crash(from string, m peer.Crash) {
 	p.entry.control.post(func(c *control, now time.Time) {
-		c.crashed(now, poison.Crash{ID: m.ID, Target: m.Target, Incarnation: m.Incarnation, At: agedBy(now, m.AgeMS), Fingerprints: m.Fingerprints}, from)
+		c.heardCrash(now, poison.Crash{
+			ID: m.ID, Target: m.Target, Incarnation: m.Incarnation, At: agedBy(now, m.AgeMS), Fingerprints: m.Fingerprints, Heard: true,
+		}, from)
 	})
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -108,7 +108,7 @@
 	case err != nil:
 		return fail(codes.BadRequest, "the body ended early")
 	}
-	c.content = poison.Fingerprint(r.Host, r.Method+" "+r.RequestURI, body)
+	c.content = poison.Fingerprint(host, r.Method+" "+r.RequestURI, body)
 	c.request = pool.Request{Method: r.Method, Head: pool.Head(r.Method, r.RequestURI, r.Host, e.forwarded(r.Header), len(body)), Body: body}
 	if route.Kind != table.Safe {
 		c.request.Fresh = unsafeFresh
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -47,6 +47,16 @@
 	assert.Equal(t, standing(d, 21, bad), poison.Clear)
 }
 
+// Guards against a request that is held for good because nobody ever says whether a target has ended.
+func TestCheckThatNeverEnds(t *testing.T) {
+	d := poison.New(fleetConfig(0))
+	d.Lost(at(0), at(-1), "t1", []uint64{bad})
+	d.Lost(at(0), at(-1), "t2", []uint64{bad})
+	assert.Equal(t, standing(d, 1, bad), poison.Unsettled)
+	d.Sweep(at(6000))
+	assert.Equal(t, standing(d, 6001, bad), poison.Clear)
+}
+
 // Guards against telling peers of requests that have been served by the time at which the end of a target is known.
 func TestServedMeanwhile(t *testing.T) {
 	d := poison.New(fleetConfig(0))
--- a/internal/poison/lost.go
+++ b/internal/poison/lost.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// maxLost bounds the fingerprints that are kept of one target until it is known whether it has ended.
-const maxLost = 64
+const (
+	// maxLost bounds the fingerprints that are kept of one target until it is known whether it has ended.
+	maxLost = 64
+	// maxCheck is above the time that a caller needs to find out. What has taken longer never comes.
+	maxCheck = 5 * time.Second
+)
 
 // doubt is a target of which it isn't known yet whether it has ended.
 type doubt struct {
@@ -15,8 +19,9 @@
 	fingerprints []uint64
 }
 
-// Lost takes that a connection to a target was lost while the fingerprints of a request that was sent at began ran there. If it reports true, the caller
-// must find out whether the target has ended, and then call Checked; false means that a caller already does.
+// Lost takes that a connection to a target was lost while the fingerprints of a request that was sent at began ran there.
+// If it reports true, the caller must find out whether the target has ended, and then call Checked; false means that a
+// caller already does.
 func (d *Detector) Lost(now, began time.Time, target string, fingerprints []uint64) (check bool) {
 	d.advance(now)
 	at := d.doubts[target]
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -48,6 +48,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -823,6 +824,7 @@
 // Sweep forgets what has expired. It is to be called every second or so.
 func (d *Detector) Sweep(now time.Time) {
 	d.advance(now)
+	maps.DeleteFunc(d.doubts, func(_ string, at *doubt) bool { return d.now.Sub(at.at) > maxCheck })
 	for fp, r := range d.records {
 		d.prune(fp, r)
 		d.drop(fp, r)
