--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,8 +13,9 @@
 // # Parts
 //
 // The decisions are in pure packages: table (routes), facts (published documents), crew (which processes run), place
-// (targets), rhythm (pauses of targets), spend (repeats), poison (requests under which targets end), quest (one request). Control.loop owns table, facts and crew and publishes what traffic
-// reads through atomic pointers. One mutex guards place, spend and poison, which each request uses for microseconds.
+// (targets), rhythm (pauses of targets), spend (repeats), poison (requests under which targets end), quest (one request).
+// Control.loop owns table, facts and crew and publishes what traffic reads through atomic pointers. One mutex guards place,
+// spend and poison, which each request uses for microseconds.
 package entry
 
 import (
