One place for ages that peers state, and for connections opened ahead

Cause: the detection on the path of forward wrote again what the path with dispatchers had: ages in messages, to and fro (ageMS, before). It also kept a connection that was just opened in three places of pool, each setting the time for which it may stay unused.

Change: peer.AgeMS, AgedBy and Milliseconds serve both paths; pool.putUnused serves Warm, Ended and OthersEnded; contentAt writes the fingerprint with hexContent. No behaviour is meant to change.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -85,7 +85,7 @@
 }
 
 func (c *call) contentAt(service string) uint64 {
-	return poison.Fingerprint(service, "", strconv.FormatUint(c.content, 16))
+	return poison.Fingerprint(service, "", hexContent(c.content))
 }
 
 // Suspicion implements quest.Picker.
@@ -307,7 +307,7 @@
 		e.hub.Tell(from, peer.Frame{Quarantine: wireQuarantine(now, q)})
 	}
 	for _, s := range known {
-		e.hub.Tell(from, peer.Frame{Success: &peer.Success{Fingerprint: s.Fingerprint, AgeMS: ageMS(now, s.Ended)}})
+		e.hub.Tell(from, peer.Frame{Success: &peer.Success{Fingerprint: s.Fingerprint, AgeMS: peer.AgeMS(now, s.Ended)}})
 	}
 }
 
@@ -339,7 +339,7 @@
 func (c *control) quarantined(now time.Time, q poison.Quarantine, from string) {
 	c.entry.crashCounts.quarantined.Add(1)
 	c.entry.Log.Every("quarantine", 100*time.Millisecond).Warn("request quarantined", "content", hexContent(q.Fingerprint), "for_ms", q.Until.Sub(now).Milliseconds(),
-		"first_end_ms", ageMS(now, q.Since), "told_by", from)
+		"first_end_ms", peer.AgeMS(now, q.Since), "told_by", from)
 }
 
 // tellCrashes tells a peer what requests to hold back, since it may have just started or been cut off.
@@ -360,7 +360,7 @@
 func (p *peerEvents) Crash(from string, m peer.Crash) {
 	p.entry.control.post(func(c *control, now time.Time) {
 		c.heardCrash(now, poison.Crash{
-			ID: m.ID, Target: m.Target, Incarnation: m.Incarnation, At: agedBy(now, m.AgeMS), Fingerprints: m.Fingerprints, Heard: true,
+			ID: m.ID, Target: m.Target, Incarnation: m.Incarnation, At: peer.AgedBy(now, m.AgeMS), Fingerprints: m.Fingerprints, Heard: true,
 		}, from)
 	})
 }
@@ -369,7 +369,7 @@
 func (p *peerEvents) Success(from string, m peer.Success) {
 	p.entry.control.post(func(c *control, now time.Time) {
 		c.entry.mu.Lock()
-		news := c.entry.crashes.Exonerate(now, poison.Success{Fingerprint: m.Fingerprint, Ended: agedBy(now, m.AgeMS)})
+		news := c.entry.crashes.Exonerate(now, poison.Success{Fingerprint: m.Fingerprint, Ended: peer.AgedBy(now, m.AgeMS)})
 		c.entry.mu.Unlock()
 		if news {
 			c.pass(peer.Frame{Success: &m}, from)
@@ -387,7 +387,7 @@
 			return
 		}
 		q := poison.Quarantine{
-			ID: m.ID, Fingerprint: m.Fingerprint, Since: agedBy(now, m.SinceAgeMS), Until: now.Add(time.Duration(min(m.RemainingMS, maxRemainingMS)) * time.Millisecond),
+			ID: m.ID, Fingerprint: m.Fingerprint, Since: peer.AgedBy(now, m.SinceAgeMS), Until: now.Add(peer.Milliseconds(m.RemainingMS)),
 		}
 		c.entry.mu.Lock()
 		news := c.entry.crashes.Learn(now, q)
@@ -399,21 +399,10 @@
 	})
 }
 
-// maxRemainingMS bounds what a peer says before it is multiplied.
-const maxRemainingMS = int64(time.Hour / time.Millisecond)
-
 func wireCrash(now time.Time, c poison.Crash) *peer.Crash {
-	return &peer.Crash{ID: c.ID, Target: c.Target, Incarnation: c.Incarnation, AgeMS: ageMS(now, c.At), Fingerprints: c.Fingerprints}
+	return &peer.Crash{ID: c.ID, Target: c.Target, Incarnation: c.Incarnation, AgeMS: peer.AgeMS(now, c.At), Fingerprints: c.Fingerprints}
 }
 
 func wireQuarantine(now time.Time, q poison.Quarantine) *peer.Quarantine {
-	return &peer.Quarantine{ID: q.ID, Fingerprint: q.Fingerprint, RemainingMS: ageMS(q.Until, now), SinceAgeMS: ageMS(now, q.Since)}
-}
-
-// ageMS returns the age of t in milliseconds; 0 if it lies ahead.
-func ageMS(now, t time.Time) int64 { return max(now.Sub(t).Milliseconds(), 0) }
-
-// agedBy returns the time of something that a peer says is so old.
-func agedBy(now time.Time, ms int64) time.Time {
-	return now.Add(-time.Duration(min(max(ms, 0), maxRemainingMS)) * time.Millisecond)
+	return &peer.Quarantine{ID: q.ID, Fingerprint: q.Fingerprint, RemainingMS: peer.AgeMS(q.Until, now), SinceAgeMS: peer.AgeMS(now, q.Since)}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -240,8 +240,7 @@
 	if err != nil {
 		return err
 	}
-	c.until = time.Now().Add(p.cfg.Unused)
-	p.put(to.ID, c)
+	p.putUnused(to.ID, c)
 	return nil
 }
 
@@ -282,8 +281,7 @@
 		_ = again.Close()
 		return false, errUnsure
 	}
-	c.until = time.Now().Add(p.cfg.Unused)
-	p.put(to.ID, c)
+	p.putUnused(to.ID, c)
 	return false, nil
 }
 
@@ -296,8 +294,7 @@
 		case IsRefused(err):
 			ids = append(ids, to.ID)
 		case err == nil:
-			c.until = time.Now().Add(p.cfg.Unused)
-			p.put(to.ID, c)
+			p.putUnused(to.ID, c)
 		}
 	}
 	return ids
@@ -469,7 +466,13 @@
 	p.putBack(id, c)
 }
 
-// putBack keeps a connection that has not been used.
+// putUnused keeps a connection that has just been opened and has served nothing.
+func (p *Pool) putUnused(id string, c *conn) {
+	c.until = time.Now().Add(p.cfg.Unused)
+	p.put(id, c)
+}
+
+// putBack keeps a connection that was taken and not used.
 func (p *Pool) putBack(id string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -81,18 +81,12 @@
 	crash := toCrash(now, e.msg)
 	c.report(now, crash)
 	for _, s := range c.poison.RecentSuccesses(now, crash) {
-		c.relay.hub.Broadcast(peer.Frame{Success: &peer.Success{Fingerprint: s.Fingerprint, AgeMS: ageMS(now, s.Ended)}})
+		c.relay.hub.Broadcast(peer.Frame{Success: &peer.Success{Fingerprint: s.Fingerprint, AgeMS: peer.AgeMS(now, s.Ended)}})
 	}
 }
 
-func ageMS(now, t time.Time) int64 { return max(now.Sub(t).Milliseconds(), 0) }
-
-func before(now time.Time, ms int64) time.Time {
-	return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
-}
-
 func toCrash(now time.Time, m peer.Crash) poison.Crash {
-	return poison.Crash{Target: m.Target, Incarnation: m.Incarnation, At: before(now, m.AgeMS), Fingerprints: m.Fingerprints}
+	return poison.Crash{Target: m.Target, Incarnation: m.Incarnation, At: peer.AgedBy(now, m.AgeMS), Fingerprints: m.Fingerprints}
 }
 
 // report counts a crash and passes new quarantines on.
@@ -100,7 +94,7 @@
 	for _, q := range c.poison.Report(now, crash) {
 		c.relay.Log.Warn("request quarantined", "fingerprint", fmt.Sprintf("%016x", q.Fingerprint), "target", crash.Target, "until", q.Until)
 		c.relay.hub.Broadcast(peer.Frame{Quarantine: &peer.Quarantine{
-			Fingerprint: q.Fingerprint, RemainingMS: q.Until.Sub(now).Milliseconds(), SinceAgeMS: ageMS(now, q.Since),
+			Fingerprint: q.Fingerprint, RemainingMS: q.Until.Sub(now).Milliseconds(), SinceAgeMS: peer.AgeMS(now, q.Since),
 		}})
 	}
 	c.dirty = true
@@ -115,7 +109,7 @@
 		return
 	}
 	until := now.Add(time.Duration(e.msg.RemainingMS) * time.Millisecond)
-	c.poison.Learn(now, poison.Quarantine{Fingerprint: e.msg.Fingerprint, Until: until, Since: before(now, e.msg.SinceAgeMS)})
+	c.poison.Learn(now, poison.Quarantine{Fingerprint: e.msg.Fingerprint, Until: until, Since: peer.AgedBy(now, e.msg.SinceAgeMS)})
 	c.dirty = true
 }
 
@@ -133,7 +127,7 @@
 func (e succeeded) apply(c *control, now time.Time) {
 	for fp, t := range e.ended {
 		if c.poison.Exonerate(now, poison.Success{Fingerprint: fp, Ended: t}) {
-			c.relay.hub.Broadcast(peer.Frame{Success: &peer.Success{Fingerprint: fp, AgeMS: ageMS(now, t)}})
+			c.relay.hub.Broadcast(peer.Frame{Success: &peer.Success{Fingerprint: fp, AgeMS: peer.AgeMS(now, t)}})
 			c.dirty = true
 		}
 	}
@@ -142,7 +136,7 @@
 type peerSuccess struct{ msg peer.Success }
 
 func (e peerSuccess) apply(c *control, now time.Time) {
-	c.poison.Exonerate(now, poison.Success{Fingerprint: e.msg.Fingerprint, Ended: before(now, e.msg.AgeMS)})
+	c.poison.Exonerate(now, poison.Success{Fingerprint: e.msg.Fingerprint, Ended: peer.AgedBy(now, e.msg.AgeMS)})
 	c.dirty = true
 }
 
