A planned stop doesn't close a connection whose request has been read

Cause: closeIdle went by http.Server's state, which stays idle from the answer until the head of the next request is parsed. A connection that was closed in between had its request handed to the handler and passed on.

Change: a connection of a caller knows whether anything was read since its last answer. The stop closes it only if not, and what comes after that close isn't handed on, so a request that crosses it has not run.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -314,7 +314,7 @@
 	failed := make(chan error, 2)
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		if err := callers.Serve(e.Callers); !e.stopping.Load() {
+		if err := callers.Serve(callersListener{e.Callers}); !e.stopping.Load() {
 			failed <- err
 		}
 	})
