entry: a starting process repeats a read of the platform that isn't answered

Each read that was sent in the silence hangs until its timeout of 2 s, so that the processes serve 1.4 to 1.6 s after the platform is back (37.8 s; ready at 39.3 to 39.5 s), and 201 of 441 requests of 38 to 40 s are refused. Ruled out: the time to read the documents (10 ms) and peers (none has documents).

A refused read isn't repeated: the pause after failures stays.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
+	"github.com/fuchsiarelay/fuchsiarelay/pkg/plat"
 )
 
 // Intervals and limits for keeping up with the published documents.
@@ -24,6 +25,10 @@
 	watchWait    = time.Second
 	watchSlack   = 300 * time.Millisecond // added to watchWait, for the answer to arrive
 	rangeTimeout = 2 * time.Second        // for all pages of the largest set of documents on the slowest link
+	// rangeStagger is the time after which all documents are requested once more, while no earlier request has been answered.
+	// It is longer than the platform takes for the documents of a small fleet, also when its answers take 60 times as long.
+	rangeStagger      = 300 * time.Millisecond
+	maxStaggeredReads = int(rangeTimeout / rangeStagger)
 	// syncWait is how long a follower's request to a reader waits for changes. It may be longer than watchWait, since a
 	// reader answers as soon as it can't confirm that its documents are current.
 	syncWait  = 2 * time.Second
@@ -137,19 +142,33 @@
 func (f *follower) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, rangeTimeout)
 	defer cancel()
-	began := time.Now()
-	f.platformReads.Add(1)
-	docs, asOf, err := f.entry.Source.Range(ctx)
+	all, err := newStaggeredRead(rangeStagger, maxStaggeredReads, f.readRange).first(ctx)
 	if err != nil {
 		return err
 	}
 	f.control.post(func(c *control, now time.Time) {
-		c.confirmedAt = began
-		c.applyAndPublish(now, c.documents.ApplyAll(now, docs, asOf))
+		c.confirmedAt = all.began
+		c.applyAndPublish(now, c.documents.ApplyAll(now, all.docs, all.asOf))
 	})
 	return nil
 }
 
+// rangeResult holds all documents, as the platform returned them to one request.
+type rangeResult struct {
+	docs  []plat.Document
+	asOf  uint64
+	began time.Time // when the request was sent
+}
+
+// readRange sends one request for all documents to the platform.
+func (f *follower) readRange(ctx context.Context) (rangeResult, error) {
+	f.platformReads.Add(1)
+	r := rangeResult{began: time.Now()}
+	var err error
+	r.docs, r.asOf, err = f.entry.Source.Range(ctx)
+	return r, err
+}
+
 // isSeed reports whether this process is one of the seeds, to which the other processes connect first.
 func (f *follower) isSeed() bool { return slices.Contains(f.entry.Seeds, f.entry.PeerAddr) }
 
