scen: a reply that was cut short tells no dispatcher of an incarnation

Cause of four entries of KNOWN-RED.txt (TestPairs with replies cut short): the check of P3 permits each of two dispatchers one piece of work at a target that became cold until the target has replied, since nothing else reports the new incarnation. It took work that the target finished for a reply, also where the stand-in cut the reply short and no dispatcher could read it.

Change: the stand-in records whether a reply was cut, and only a whole reply ends the allowance, which stays two pieces of work an incarnation.

TestCostMeasuresEveryPart stays listed; it wasn't traced.

--- a/internal/emul/log.go
+++ b/internal/emul/log.go
@@ -51,6 +51,8 @@
 	Outcome     Outcome      `json:"outcome"`
 	// Documents holds the number of documents that the reply reports for each shard. It is set when the work is done.
 	Documents map[uint32]uint64 `json:"documents,omitempty"`
+	// ReplyCut is true if the reply was cut short (Target.SetTruncateAfter), so that no client could read it.
+	ReplyCut bool `json:"reply_cut,omitempty"`
 }
 
 // Overload records one sub-request, order or connection that would have exceeded the bound of a target and did not run.
--- a/internal/emul/target.go
+++ b/internal/emul/target.go
@@ -259,7 +259,7 @@
 		}
 	}
 	t.mu.Unlock()
-	t.writeReply(w, reply)
+	t.writeReply(w, execution, reply)
 }
 
 // buildPart returns the result for one shard. The id of its hit contains the generation and version, so that a test can
@@ -285,7 +285,7 @@
 		reply.RequestID += "-other"
 	}
 	t.mu.Unlock()
-	t.writeReply(w, reply)
+	t.writeReply(w, execution, reply)
 }
 
 // takeWrongID reports whether the next reply must carry a wrong request id, and counts that reply. The caller holds mu.
@@ -519,9 +519,9 @@
 	t.recordHealth()
 }
 
-// writeReply sends the reply with a Content-Length header. While the fault of SetTruncateAfter is active, it sends only the
-// first bytes of the body and breaks the connection.
-func (t *Target) writeReply(w http.ResponseWriter, reply any) {
+// writeReply sends the reply of an execution with a Content-Length header. While the fault of SetTruncateAfter is active, it
+// sends only the first bytes of the body and breaks the connection.
+func (t *Target) writeReply(w http.ResponseWriter, execution *Execution, reply any) {
 	raw, err := json.Marshal(reply)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -529,10 +529,12 @@
 	}
 	t.lock()
 	truncateAfter := t.faults.truncateAfter
+	cut := truncateAfter > 0 && truncateAfter < len(raw)
+	execution.ReplyCut = cut
 	t.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
-	if truncateAfter > 0 && truncateAfter < len(raw) {
+	if cut {
 		_, _ = w.Write(raw[:truncateAfter])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
--- a/internal/scen/check.go
+++ b/internal/scen/check.go
@@ -292,11 +292,11 @@
 	return out
 }
 
-// repliedBefore reports whether the incarnation of the overload had sent a reply before, from which a dispatcher could learn
-// of the incarnation.
+// repliedBefore reports whether the incarnation of the overload had sent a complete reply before, from which a dispatcher
+// could learn of the incarnation. A reply that was cut short tells a dispatcher nothing.
 func repliedBefore(executions []emul.Execution, o emul.Overload) bool {
 	for _, r := range executions {
-		if r.Incarnation == o.Incarnation && r.Outcome == emul.OutcomeDone && r.End.Before(o.At) {
+		if r.Incarnation == o.Incarnation && r.Outcome == emul.OutcomeDone && !r.ReplyCut && r.End.Before(o.At) {
 			return true
 		}
 	}
@@ -316,7 +316,7 @@
 		inProgress := !r.Start.After(o.At) && (r.End.IsZero() || !r.End.Before(o.At))
 		if ended && replies < 2 {
 			replies++
-			out = append(out, fmt.Sprintf("%s answered on connection %d %s before", r.RequestID, r.Conn, o.At.Sub(r.End)))
+			out = append(out, fmt.Sprintf("%s answered on connection %d %s before, cut short: %t", r.RequestID, r.Conn, o.At.Sub(r.End), r.ReplyCut))
 		}
 		if inProgress {
 			out = append(out, fmt.Sprintf("%s running on connection %d since %s", r.RequestID, r.Conn, o.At.Sub(r.Start)))
