entry: a process that replaces another one reads the platform at once

Change: a process that isn't the first on its VM begins without a pause, asks every 20 ms and waits 60 ms for a link. The first process on a VM waits as before, since the whole fleet may be starting. Test: both cases in virtual time.

What a caller notices: 0.1 to 0.3 s less without service.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -43,9 +43,13 @@
 	// peerStartWait is how long a starting process that isn't a seed waits for the documents of a peer before it reads them
 	// from the platform itself.
 	peerStartWait = 1200 * time.Millisecond
-	// firstLinkWait is how long a starting process that isn't a seed waits for a link to any peer.
-	firstLinkWait = 400 * time.Millisecond
-	pollPause     = 100 * time.Millisecond // between two attempts to get documents from a peer; equals tickInterval
+	// firstLinkWait is how long a starting process that isn't a seed waits for a link to any peer, if it is the first on its VM:
+	// the whole fleet may be starting then. A process that replaces another one waits for restartLinkWait, in which a running
+	// peer accepts a link. If there is none, all processes may have been lost, and callers are waiting.
+	firstLinkWait   = 400 * time.Millisecond
+	restartLinkWait = 60 * time.Millisecond
+	pollPause       = 100 * time.Millisecond // between two attempts to get documents from a peer; equals tickInterval
+	firstPollPause  = 20 * time.Millisecond  // between two attempts of a starting process to get its first documents
 	// fallbackAfter is the age of a follower's documents from which the follower turns to another source, and the time for
 	// which it then reads from the platform. Together with the time that a reader needs to notice a failure, this age stays
 	// below the 3 s in which a configuration must be in force.
@@ -79,7 +83,9 @@
 // loop reads documents until ctx ends.
 func (f *follower) loop(ctx context.Context) {
 	f.startedAt = time.Now()
-	sleep(ctx, pollPause)
+	if f.entry.FirstOnVM {
+		sleep(ctx, pollPause)
+	}
 	for ctx.Err() == nil {
 		after, complete, reader := f.documentState()
 		var err error
@@ -173,17 +179,21 @@
 func (f *follower) isSeed() bool { return slices.Contains(f.entry.Seeds, f.entry.PeerAddr) }
 
 // requestAllFromPeer requests all documents from a peer, so that the platform need not send them page by page. It returns
-// false if this process has no link to any peer later than firstLinkWait after its start.
+// false if this process has had no link to any peer for too long after its start.
 func (f *follower) requestAllFromPeer(ctx context.Context) bool {
 	var peers []string
 	f.control.postAndWait(func(c *control, _ time.Time) { peers = c.linkedPeers() })
+	linkWait := restartLinkWait
+	if f.entry.FirstOnVM {
+		linkWait = firstLinkWait
+	}
 	switch {
 	case len(peers) > 0:
 		f.syncWith(ctx, peers[rand.IntN(len(peers))], 0, 0)
-	case time.Since(f.startedAt) > firstLinkWait:
+	case time.Since(f.startedAt) > linkWait:
 		return false
 	}
-	sleep(ctx, pollPause)
+	sleep(ctx, firstPollPause)
 	return true
 }
 
