place, pool: a target at its connection bound stays in use

Cause: after a power failure the connections of the lost processes still count at the targets, and all new processes dial all targets at once.

Change: a reset of a new connection isn't a sign of a target that is down (pool.Error.NewConnReset). Where a target has reset one, the next is verified for 4 ms before the request is written, so that a reset is known not to have run. Idle connections beyond two are closed after 1.5 s: fewer are left behind by a VM that loses power.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -270,7 +270,7 @@
 		e.random = rand.New(rand.NewPCG(seed, seed))
 		e.predictor = pauses.New(pauses.Config{})
 		e.balancer = place.New(place.Config{
-			DataCentre: e.DataCentre, HasIdle: func(id string) bool { return e.pool.HasIdle(id) }, PauseDelay: e.predictor.PredictedWait,
+			DataCentre: e.DataCentre, HasIdle: func(id string) bool { return e.pool.HasIdle(id) }, IsDialing: func(id string) bool { return e.pool.IsDialing(id) }, PauseDelay: e.predictor.PredictedWait,
 		})
 		e.delayEstimator = delay.New()
 		e.detector = e.newDetector()
--- a/internal/entry/preconnect.go
+++ b/internal/entry/preconnect.go
@@ -85,6 +85,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), preconnectTimeout)
 	defer cancel()
 	if err := o.entry.pool.Preconnect(ctx, o.to); err != nil {
+		if pool.IsReset(err) {
+			o.entry.mu.Lock()
+			o.entry.balancer.RecordConnReset(time.Now(), o.to.ID)
+			o.entry.mu.Unlock()
+		}
 		o.entry.Log.Every("warm", time.Second).Info("cannot open connection in advance", "target", o.to.ID, "error", err)
 	}
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -94,6 +94,7 @@
 	actions := step(now)
 	for _, a := range actions {
 		if a.Send != nil {
+			a.Send.VerifyNew = r.entry.balancer.ResetsNewConns(a.Send.Target.ID)
 			a.Send.Unassigned = r.entry.balancer.Availability(now, a.Send.Target) == place.Unassigned
 			r.entry.balancer.RecordSend(now, a.Send.Target.ID)
 			a.Send.Fingerprints = r.call.fingerprints(a.Send.Service)
@@ -207,7 +208,7 @@
 	if errors.Is(r.sendsCtx.Err(), context.Canceled) && outcome == place.NoReply {
 		e.balancer.RecordAbandoned(now, id, r.call.route.Name, took)
 	} else {
-		e.balancer.RecordEnd(now, id, r.call.route.Name, place.SendResult{Outcome: outcome, Latency: took, Load: parseLoad(reply.Header.Get(e.Names.Load))})
+		e.balancer.RecordEnd(now, id, r.call.route.Name, place.SendResult{Outcome: outcome, Latency: took, Load: parseLoad(reply.Header.Get(e.Names.Load)), NewConnReset: isNewConnReset(err)})
 	}
 	if retryAfter > 0 {
 		e.balancer.SetBackoff(id, now.Add(retryAfter))
@@ -222,7 +223,7 @@
 // request returns the HTTP request for one send.
 func (r *runner) request(s fanout.Send) *pool.Request {
 	req := r.call.request
-	req.Close = s.Unassigned
+	req.Close, req.VerifyNew = s.Unassigned, s.VerifyNew
 	left := max(time.Until(r.plan.Deadline()).Milliseconds(), 1)
 	req.ExtraHeader = []pool.HeaderField{
 		{Name: r.entry.Names.Deadline, Value: strconv.FormatInt(left, 10)}, {Name: r.entry.Names.ExpectInstance, Value: s.Target.ID},
@@ -265,6 +266,12 @@
 	return errors.As(err, &failure) && failure.ConnectionLost
 }
 
+// isNewConnReset reports whether a send ended because the target reset a new connection.
+func isNewConnReset(err error) bool {
+	var failure *pool.Error
+	return errors.As(err, &failure) && failure.NewConnReset
+}
+
 // classifyOutcome returns the outcome of a send that ended with a reply or an error.
 func (e *Entry) classifyOutcome(reply pool.Reply, err error) place.Outcome {
 	var failure *pool.Error
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -150,7 +150,8 @@
 	ExpectedTime time.Duration // until the reply, as estimated by the Picker
 	Repeated     bool          // not the first attempt of the part
 	Hedge        bool          // another attempt of the part is still open
-	// The plan leaves the two fields below empty. The code that runs the plan sets them.
+	// The plan leaves the fields below empty. The code that runs the plan sets them.
+	VerifyNew    bool     // see pool.Request
 	Unassigned   bool     // the target is assigned to other processes (place.Unassigned)
 	Fingerprints []uint64 // fingerprints of the request that the attempt sends
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -30,6 +30,9 @@
 // of these requests in any coldWindow. A target counts as cold for as long as its published entry or its health page has
 // stated.
 //
+// Targets at their connection bound: new connections are opened one at a time, and not for a while after the target has reset
+// one; see dial.go.
+//
 // Targets in backoff: a target that has stated when it will be available again gets nothing before that time, not even a
 // query of its health page.
 package place
@@ -53,6 +56,7 @@
 	RemoteCost    time.Duration        // added to the expected time of a target in another data centre
 	DialCost      time.Duration        // added to the expected time if a new connection is needed
 	HasIdle       func(id string) bool // reports whether an idle connection to the target exists; nil for no preference
+	IsDialing     func(id string) bool // reports whether a connection to the target is being opened; nil: never
 	Jitter        float64              // width of the random variation of expected times, as a share of these times, 0..1
 	StallFactor   float64              // a target without a reply for this many times the expected time counts as stalled
 	MinStall      time.Duration        // shortest time without a reply that counts as a stall
@@ -139,6 +143,8 @@
 	Outcome Outcome
 	Latency time.Duration // since the request was sent
 	Load    *Load         // nil if not reported
+	// NewConnReset is true if the target reset a new connection. It is set only with NotSent and Broken.
+	NewConnReset bool
 }
 
 // targetState holds the observations of one target.
@@ -156,6 +162,8 @@
 	down                  bool          // out of rotation until its health page answers
 	downByNoReply         bool          // down only because sends got no reply
 	backoffUntil          time.Time     // the target has asked for no requests before this time
+	dialPause             time.Duration // length of the latest pause after a reset of a new connection; 0 after a reply
+	noDialUntil           time.Time     // no new connection is opened before this time
 	coldUntil             time.Time     // end of the target's warm-up
 	coldSends             []time.Time   // sends in the last coldWindow, while the target is cold
 	probeDelay            time.Duration // time between going down and the first probe; doubles each time the target goes down, until a request is answered
@@ -295,6 +303,8 @@
 		return Down
 	case s != nil && b.coldLimitReached(now, t, s):
 		return Busy
+	case !b.hasIdle(t.ID) && !b.mayDial(now, t.ID):
+		return Busy
 	case b.sendLimit == nil:
 		return Usable
 	}
@@ -464,6 +474,11 @@
 	if r.Outcome <= Replaced {
 		s.lastReply = now
 		s.consecutiveUnanswered, s.consecutiveBroken = 0, 0
+		s.dialPause = 0
+	}
+	if r.NewConnReset {
+		s.pauseDialing(now)
+		return
 	}
 	switch r.Outcome {
 	case Answered:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -52,6 +52,9 @@
 	IdleMargin    time.Duration // subtracted from the Keep-Alive timeout that a target states
 	CheckAfter    time.Duration // a connection that was idle for at least this long is checked for a close before it is used
 	SettleTime    time.Duration // time after the end of a target within which the closes of its connections arrive here
+	VerifyTime    time.Duration // time after which a reset of a new connection has arrived here
+	SurplusTime   time.Duration // idle time after which Prune closes a connection beyond MinIdle
+	MinIdle       int           // idle connections to each target that Prune doesn't close as surplus
 	MaxBody       int64         // bytes of the body of a reply
 	MaxTotalBody  int64         // bytes of the bodies of all replies that are being read
 	DialContext   func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -71,7 +74,14 @@
 	DefaultCheckAfter = 10 * time.Millisecond
 	// DefaultSettleTime is several round trips within a region, and below the shortest time that a process takes to restart.
 	DefaultSettleTime = 10 * time.Millisecond
-	DefaultMaxBody    = 8 << 20
+	// DefaultVerifyTime is above the time of a round trip between data centres of one region.
+	DefaultVerifyTime = 4 * time.Millisecond
+	// DefaultSurplusTime and DefaultMinIdle keep the connections for a send and a hedge or retry. A burst, such as during a
+	// pause of the target, opens more, which would otherwise be kept until their idle timeout: after a power failure of this VM
+	// they would count towards the bound of the target for that long, together with those of the restarted process.
+	DefaultSurplusTime = 1500 * time.Millisecond
+	DefaultMinIdle     = 2
+	DefaultMaxBody     = 8 << 20
 	// DefaultMaxTotalBody is a fifth of the memory of a small VM, 184 MB.
 	DefaultMaxTotalBody = 36 << 20
 )
@@ -104,6 +114,9 @@
 	// connection, and then it is unknown whether the target has run the request.
 	MaxIdle time.Duration
 	Close   bool // the connection is closed after the reply
+	// VerifyNew makes Do wait for Config.VerifyTime before it writes to a new connection, so that a target that resets it has
+	// certainly not run the request.
+	VerifyNew bool
 	// Accept reports whether a reply belongs to this request; nil accepts all replies.
 	Accept func(status int, h http.Header) bool
 }
@@ -144,7 +157,10 @@
 	NotSent        bool // nothing was written to the target
 	TimedOut       bool // the deadline or Config.DialTimeout passed, or the context was canceled, before the reply was complete
 	ConnectionLost bool // the target closed or reset the connection before the reply was complete
-	Err            error
+	// NewConnReset is true if the target reset a connection on which it had not served any request. Targets reset the
+	// connections beyond their bound in this way.
+	NewConnReset bool
+	Err          error
 }
 
 // Error implements error.
@@ -203,9 +219,10 @@
 	dials     atomic.Uint64
 	bodyBytes atomic.Int64 // bytes of buffers for bodies that are being read
 
-	mu     sync.Mutex
-	idle   map[string][]*conn // by ID of the target; the connection that was used last is at the end
-	closed bool
+	mu      sync.Mutex
+	idle    map[string][]*conn // by ID of the target; the connection that was used last is at the end
+	dialing map[string]int     // connections that are being opened, by ID of the target
+	closed  bool
 }
 
 // New returns a Pool without connections, and a function that closes the idle connections and stops the pool from keeping
@@ -217,12 +234,15 @@
 	cfg.IdleMargin = cmp.Or(cfg.IdleMargin, DefaultIdleMargin)
 	cfg.CheckAfter = cmp.Or(cfg.CheckAfter, DefaultCheckAfter)
 	cfg.SettleTime = cmp.Or(cfg.SettleTime, DefaultSettleTime)
+	cfg.VerifyTime = cmp.Or(cfg.VerifyTime, DefaultVerifyTime)
+	cfg.SurplusTime = cmp.Or(cfg.SurplusTime, DefaultSurplusTime)
+	cfg.MinIdle = cmp.Or(cfg.MinIdle, DefaultMinIdle)
 	cfg.MaxBody = cmp.Or(cfg.MaxBody, DefaultMaxBody)
 	cfg.MaxTotalBody = cmp.Or(cfg.MaxTotalBody, DefaultMaxTotalBody)
 	if cfg.DialContext == nil {
 		cfg.DialContext = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
-	p := &Pool{cfg: cfg, idle: map[string][]*conn{}}
+	p := &Pool{cfg: cfg, idle: map[string][]*conn{}, dialing: map[string]int{}}
 	return p, p.close
 }
 
@@ -334,8 +354,11 @@
 }
 
 // waitSettleTime waits for Config.SettleTime, after which the end of a target is visible on all connections to it.
-func (p *Pool) waitSettleTime(ctx context.Context) error {
-	t := time.NewTimer(p.cfg.SettleTime)
+func (p *Pool) waitSettleTime(ctx context.Context) error { return wait(ctx, p.cfg.SettleTime) }
+
+// wait waits until d has passed. It returns the error of ctx if ctx ends earlier.
+func wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -370,7 +393,8 @@
 	delete(p.idle, id)
 }
 
-// Prune closes the idle connections that must not be used any more, and those to targets for which isWanted returns false.
+// Prune closes the idle connections that must not be used any more, those to targets for which isWanted returns false, and
+// surplus ones: those beyond Config.MinIdle that have been idle for Config.SurplusTime.
 func (p *Pool) Prune(now time.Time, isWanted func(id string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -380,8 +404,9 @@
 			continue
 		}
 		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.usableUntil) {
+		for i, c := range list {
+			surplus := len(list)-i > p.cfg.MinIdle && now.Sub(c.idleSince) >= p.cfg.SurplusTime
+			if now.Before(c.usableUntil) && !surplus {
 				kept = append(kept, c)
 			} else {
 				_ = c.Close()
@@ -393,10 +418,11 @@
 
 // Do sends a request and reads the complete reply, unless ctx ends earlier. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, to Target, r *Request) (Reply, error) {
-	c, err := p.acquire(ctx, to, r.MaxIdle)
+	c, err := p.acquire(ctx, to, r)
 	if err != nil {
-		return Reply{}, &Error{NotSent: true, TimedOut: isTimeout(err), Err: err}
+		return Reply{}, &Error{NotSent: true, TimedOut: isTimeout(err), NewConnReset: IsReset(err), Err: err}
 	}
+	hadServed := c.hasServed
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	reply, keep, failure := p.roundTrip(c, r)
 	if !stop() && failure == nil {
@@ -405,6 +431,7 @@
 	if failure != nil {
 		_ = c.Close()
 		failure.TimedOut = failure.TimedOut || ctx.Err() != nil
+		failure.NewConnReset = !hadServed && !failure.TimedOut && IsReset(failure.Err)
 		return Reply{}, failure
 	}
 	if keep {
@@ -423,13 +450,21 @@
 // IsRefused reports whether an error says that nothing listens at the address.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// IsReset reports whether an error says that the target has reset the connection.
+func IsReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func isTimeout(err error) bool {
 	var timeoutErr interface{ Timeout() bool }
 	return errors.As(err, &timeoutErr) && timeoutErr.Timeout()
 }
 
-// acquire returns an idle connection that is still usable, or else a new one.
-func (p *Pool) acquire(ctx context.Context, to Target, maxIdle time.Duration) (*conn, error) {
+// errResetWhenNew is the error of a request whose new connection was reset before the request was written.
+var errResetWhenNew = fmt.Errorf("new connection closed by the target: %w", syscall.ECONNRESET)
+
+// acquire returns an idle connection that is still usable for the request, or else a new one.
+func (p *Pool) acquire(ctx context.Context, to Target, r *Request) (*conn, error) {
 	for {
 		c := p.takeIdle(to.ID)
 		if c == nil {
@@ -437,15 +472,30 @@
 		}
 		now := time.Now()
 		idle := now.Sub(c.idleSince)
-		if now.Before(c.usableUntil) && (maxIdle == 0 || idle < maxIdle) && (idle < p.cfg.CheckAfter || c.reusable()) {
+		if now.Before(c.usableUntil) && (r.MaxIdle == 0 || idle < r.MaxIdle) && (idle < p.cfg.CheckAfter || c.reusable()) {
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	return p.dial(ctx, to)
+	c, err := p.dial(ctx, to)
+	if err != nil || !r.VerifyNew {
+		return c, err
+	}
+	if err := wait(ctx, p.cfg.VerifyTime); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	if !c.reusable() {
+		_ = c.Close()
+		return nil, errResetWhenNew
+	}
+	return c, nil
 }
 
+// dial opens a connection to a target.
 func (p *Pool) dial(ctx context.Context, to Target) (*conn, error) {
+	p.addDialing(to.ID, 1)
+	defer p.addDialing(to.ID, -1)
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
 	p.dials.Add(1)
@@ -456,6 +506,22 @@
 	return newConn(raw), nil
 }
 
+// addDialing adds n to the number of connections to a target that are being opened.
+func (p *Pool) addDialing(id string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dialing[id] += n; p.dialing[id] == 0 {
+		delete(p.dialing, id)
+	}
+}
+
+// IsDialing reports whether a connection to a target is being opened.
+func (p *Pool) IsDialing(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialing[id] > 0
+}
+
 // takeIdle removes the connection to a target that was used last from the idle ones and returns it; nil if there is none.
 func (p *Pool) takeIdle(id string) *conn {
 	p.mu.Lock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -469,3 +470,40 @@
 	_, failure := do(t, p, s, getRequest())
 	assert.Assert(t, failure != nil && !errors.Is(failure, errMemoryLimit), "%v", failure)
 }
+
+// Guards against a target at its connection bound that is taken for one that has ended or may have run the request. A reset of
+// a new connection is reported as such; if the connection is verified first, nothing was sent. A reset of a connection that has
+// served a request has another cause.
+func TestNewConnectionReset(t *testing.T) {
+	resets := serveConns(t, func(_ *testTarget, c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) })
+	p := newPool(t)
+	_, failure := do(t, p, resets, getRequest())
+	assert.Assert(t, failure != nil && failure.NewConnReset, "%v", failure)
+	verified := getRequest()
+	verified.VerifyNew = true
+	_, failure = do(t, p, resets, verified)
+	assert.Assert(t, failure != nil && failure.NewConnReset && failure.NotSent, "%v", failure)
+
+	serves := serveReplies(t, func(int64, *http.Request) (string, bool) { return okReply("x"), true })
+	_, failure = do(t, p, serves, verified)
+	assert.Assert(t, failure == nil, "%v", failure)
+}
+
+// Guards against connections of a burst that are kept until their idle timeout, and count towards the bound of the target after
+// this VM has lost power.
+func TestSurplusConnectionsAreClosed(t *testing.T) {
+	s := serveReplies(t, func(int64, *http.Request) (string, bool) {
+		time.Sleep(20 * time.Millisecond)
+		return okReply("x"), true
+	})
+	p := newPool(t)
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() { _, _ = p.Do(t.Context(), s.target, getRequest()) })
+	}
+	wg.Wait()
+	p.Prune(time.Now().Add(DefaultSurplusTime/2), func(string) bool { return true })
+	assert.Equal(t, len(p.idle[s.target.ID]), 5)
+	p.Prune(time.Now().Add(DefaultSurplusTime), func(string) bool { return true })
+	assert.Equal(t, len(p.idle[s.target.ID]), DefaultMinIdle)
+}
