place: a target that refuses is avoided, and isn't taken for a slow one

Cause: a target that refuses a part of its sends kept its share of them: a refusal raised its reported load, and the load header of its next answer took that back.

Targets are compared by the cost of a send with its expected repetitions; what the plan is told is the predicted time, without the weight of failures and refusals, so that such a shard isn't left out as too slow.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -149,9 +149,10 @@
 
 // targetState holds the observations of one target.
 type targetState struct {
-	slowdown              float64     // mean slowdown: time of a send relative to the mean time of its route
-	hasAnswered           bool        // the target has answered at least one request
-	failureRate           float64     // moving average of the failure rate, 0..1
+	slowdown              float64 // mean slowdown: time of a send relative to the mean time of its route
+	hasAnswered           bool    // the target has answered at least one request
+	failureRate           float64 // moving average of the failure rate, 0..1
+	refusals              refusals
 	inFlight              []time.Time // when the sends in flight began
 	reportedLoad          float64     // reported requests that are running or waiting, per slot
 	loadReportedAt        time.Time   // when reportedLoad was reported
@@ -338,7 +339,7 @@
 	return availability, wait
 }
 
-// Pick returns the target with the shortest expected time, and that time. It leaves out the tried targets and those that
+// Pick returns the target with the lowest cost, and the predicted time of a send to it. It leaves out the tried targets and those that
 // can't be picked now. If no target remains, Pick falls back to a target that is down only because sends got no reply, and
 // that has replied recently: it may be slow because it does the work of the others.
 func (b *Balancer) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, time.Duration, bool) {
@@ -352,18 +353,20 @@
 	return b.pick(now, rnd, route, targets, tried, func(t *table.Target) bool { return b.Availability(now, t) == Down && b.isLastResort(now, t) })
 }
 
-// pick returns the target with the shortest expected time, and that time, among the targets that are allowed and not tried.
+// pick returns the target with the lowest cost, and the predicted time of a send to it, among the targets that are allowed and
+// not tried.
 func (b *Balancer) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, isAllowed func(t *table.Target) bool) (*table.Target, time.Duration, bool) {
 	var best *table.Target
-	var bestTime float64
+	var bestCost, bestTime float64
 	times := b.timesOf(route)
 	for _, t := range targets {
 		if slices.Contains(tried, t.ID) || !isAllowed(t) {
 			continue
 		}
-		expected := b.expectedSeconds(now, times, t) * (1 + b.cfg.Jitter*(rnd.Float64()-0.5))
-		if best == nil || expected < bestTime {
-			best, bestTime = t, expected
+		variation := 1 + b.cfg.Jitter*(rnd.Float64()-0.5)
+		predicted, cost := b.predict(now, times, t)
+		if best == nil || cost*variation < bestCost {
+			best, bestCost, bestTime = t, cost*variation, predicted*variation
 		}
 	}
 	return best, min(fromSeconds(bestTime), stallPenalty), best != nil
@@ -376,8 +379,9 @@
 	return s.downByNoReply && now.Sub(s.lastReply) < lastResortAge && len(s.inFlight) < max(s.slots/2, 1)
 }
 
-// expectedSeconds returns the expected time of a send to a target, in seconds.
-func (b *Balancer) expectedSeconds(now time.Time, times *routeTimes, t *table.Target) float64 {
+// predict returns the predicted time of a send to a target, and the cost by which targets are compared, both in seconds. The
+// cost also counts the failures and the repetitions that a send to the target is expected to need.
+func (b *Balancer) predict(now time.Time, times *routeTimes, t *table.Target) (predicted, cost float64) {
 	s := b.stateOf(t.ID)
 	if t.Slots > 0 {
 		s.slots = t.Slots
@@ -390,25 +394,26 @@
 	if age := now.Sub(s.loadReportedAt); !s.loadReportedAt.IsZero() && s.reportedLoad > 0 {
 		queue = max(queue, s.reportedLoad*loadWeight(age))
 	}
-	expected := times.mean * slowdown * (1 + queue) * (1 + failureWeight*s.failureRate)
+	predicted = times.mean * slowdown * (1 + queue)
+	cost = predicted*failureWeight*s.failureRate + times.mean*repetitionCost*s.refusals.repetitions(now)
 	if t.DataCentre != b.cfg.DataCentre {
-		expected += b.cfg.RemoteCost.Seconds()
+		predicted += b.cfg.RemoteCost.Seconds()
 	}
 	if b.cfg.PauseDelay != nil {
 		// Even a slow send, of the high quantile, must have ended before a pause of the target begins.
-		expected += b.cfg.PauseDelay(now, t.ID, fromSeconds(times.high)).Seconds()
+		predicted += b.cfg.PauseDelay(now, t.ID, fromSeconds(times.high)).Seconds()
 	}
 	if b.cfg.HasIdle != nil && !b.cfg.HasIdle(t.ID) {
-		expected += b.cfg.DialCost.Seconds()
+		predicted += b.cfg.DialCost.Seconds()
 	}
 	if b.sendLimit != nil && b.sendLimit(t) == 0 {
-		expected += b.cfg.DialCost.Seconds()
+		predicted += b.cfg.DialCost.Seconds()
 	}
 	if b.stalled(now, times, s) {
 		// A stalled target comes after all others, and the one with the longest stall last.
-		expected += stallPenalty.Seconds() + now.Sub(s.inFlight[0]).Seconds()
+		predicted += stallPenalty.Seconds() + now.Sub(s.inFlight[0]).Seconds()
 	}
-	return expected
+	return predicted, cost + predicted
 }
 
 // loadWeight returns the weight of a reported load of the given age.
@@ -480,6 +485,9 @@
 		s.pauseDialing(now)
 		return
 	}
+	if r.Outcome <= Refused {
+		s.refusals.record(now, r.Outcome == Refused)
+	}
 	switch r.Outcome {
 	case Answered:
 		s.hasAnswered = true
