fanout: parts left out as too slow are sent if others are lost

Cause: a gather spends its allowance of missing parts at its start, on the slowest shard.

Change: such a part is sent after all (sendLeftOutParts). Test with a shard that refuses.

A caller gets a late answer instead of none.

--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -33,6 +33,10 @@
 // parts that the route can do without. A share of them, Config.SlowShardProbability, is sent nevertheless, to find out
 // whether the shard is still slow.
 //
+// Refusing targets: while many targets refuse a part of what they are sent, a request may lose more parts after its start. If
+// it can't do without as many parts as before, those that were left out as too slow are sent after all: a late answer is worth
+// more than none.
+//
 // Targets in backoff: a target that has asked with Retry-After to receive no requests receives none. If all targets of a
 // shard are in backoff, its part waits if the first of them is usable again soon, and is given up otherwise. If the request
 // can't succeed without these parts, it is refused at once, with the time at which the targets are usable again.
@@ -216,6 +220,7 @@
 	hedgeDelayStart  time.Time // start of the hedge delay: the latest attempt, or the latest hedge that could not be sent
 	hasReply         bool      // a good reply has arrived
 	givenUp          bool      // no more attempts are started; the part has no reply and no open attempt
+	leftOut          bool      // the part is given up because its shard is too slow for the goal
 	failedAttempt    int       // an attempt that the target ran and failed, or -1
 	waiting          bool      // the part has no open attempt and looks for a target at each Tick
 	reason           Reason    // why the part is given up or waits
@@ -445,13 +450,7 @@
 	if p.answerBy.IsZero() {
 		return out
 	}
-	givenUpCount := 0
-	for i := range p.parts {
-		if p.parts[i].givenUp {
-			givenUpCount++
-		}
-	}
-	maxDropped := len(p.parts) - p.requiredParts() - givenUpCount
+	maxDropped := len(p.parts) - p.requiredParts() - p.givenUpParts()
 	slowSends := slices.Clone(out)
 	slowSends = slices.DeleteFunc(slowSends, func(a Action) bool { return !now.Add(a.Send.ExpectedTime).After(p.answerBy) })
 	slices.SortFunc(slowSends, func(a, b Action) int { return cmp.Compare(b.Send.ExpectedTime, a.Send.ExpectedTime) })
@@ -463,11 +462,38 @@
 		part.triedTargets, part.possibleRuns, part.possibleArrivals, part.openAttempts = nil, 0, 0, 0
 		p.attempts[a.Send.AttemptID].open = false
 		p.giveUp(part, ReasonShardTooSlow)
+		part.leftOut = true
 		out = slices.DeleteFunc(out, func(b Action) bool { return b.Send.AttemptID == a.Send.AttemptID })
 	}
 	return out
 }
 
+// sendLeftOutParts sends parts that dropSlowParts has left out, if too many other parts were lost since.
+func (p *Plan) sendLeftOutParts(now time.Time, out []Action) []Action {
+	for i := range p.parts {
+		part := &p.parts[i]
+		if !part.leftOut || p.givenUpParts() <= len(p.parts)-p.requiredParts() {
+			continue
+		}
+		part.leftOut, part.givenUp = false, false
+		out = p.startAttempt(now, i, out)
+		if part.openAttempts > 0 {
+			p.picker.RecordFirstAttempt(now, part.service)
+		}
+	}
+	return out
+}
+
+// givenUpParts returns the number of parts that are given up.
+func (p *Plan) givenUpParts() (n int) {
+	for i := range p.parts {
+		if p.parts[i].givenUp {
+			n++
+		}
+	}
+	return n
+}
+
 // giveUp gives up a part for the given reason, unless an attempt of the part is still open.
 func (p *Plan) giveUp(part *part, reason Reason) {
 	if part.openAttempts == 0 {
@@ -518,6 +544,7 @@
 	case place.Broken, place.NoReply:
 		out = p.retry(now, i, ReasonConnectionLost, out)
 	}
+	out = p.sendLeftOutParts(now, out)
 	if f := p.dueFinish(now); f != nil {
 		return p.appendFinish(out, f)
 	}
@@ -565,6 +592,7 @@
 			}
 		}
 	}
+	out = p.sendLeftOutParts(now, out)
 	if f := p.dueFinish(now); f != nil {
 		return p.appendFinish(out, f)
 	}
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -482,3 +482,24 @@
 	assert.Equal(t, f.Code, codes.Partial)
 	assert.DeepEqual(t, f.MissingParts, []string{"s2:" + string(ReasonQuarantined)})
 }
+
+// Guards against a request that fails although a part could be asked that was left out as too slow at its start.
+func TestLeftOutPartReplacesLostPart(t *testing.T) {
+	r, picker := gatherRouteAndPicker(10, 0.89)
+	picker.expected = map[string]time.Duration{"shard-05": 200 * time.Millisecond}
+	picker.retryBudget = 0
+	p := newPlan(r, picker)
+	for _, s := range sends(p.Start(at(0))) {
+		if s.Service == "shard-02" {
+			replacements := sends(p.AttemptEnded(at(2), s.AttemptID, place.Refused))
+			assert.Equal(t, len(replacements), 1)
+			assert.Equal(t, replacements[0].Service, "shard-05")
+			assert.Assert(t, !replacements[0].Repeated)
+			p.AttemptEnded(at(202), replacements[0].AttemptID, place.Answered)
+		} else {
+			p.AttemptEnded(at(10), s.AttemptID, place.Answered)
+		}
+	}
+	assert.Assert(t, p.Finished())
+	assert.Equal(t, picker.recordFirstAttemptCalls, 10)
+}
