place, fanout: queues are predicted apart from slow targets, and scarce shards are left out in turn

Shards were left out of answers that could have been served in time, and one part left out costs a request its allowance: any other late part made the whole answer late. All requests left out the same shard.

Change: the load that a reply reports says in how many turns it was served; the time of a turn and the time in the queue are estimated apart, and the latter fades (place.Estimate). A part is left out if it would be late without a queue, or if it spends most of 0.4 of the time left in one, so that queues of scarce shards stay short; if a request can't do without all scarce shards, it leaves out a random selection (fanout/scarce.go).

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -332,14 +332,14 @@
 type picker runner
 
 // Pick implements fanout.Picker.
-func (p *picker) Pick(now time.Time, service string, tried []string) (*table.Target, time.Duration, place.Availability) {
+func (p *picker) Pick(now time.Time, service string, tried []string) (*table.Target, place.Estimate, place.Availability) {
 	e := p.entry
 	targets := e.view.Load().Targets(service)
 	if t, expected, ok := e.balancer.Pick(now, e.random, p.call.route.Name, targets, tried); ok {
 		return t, expected, place.Usable
 	}
 	status, wait := e.balancer.UnavailableReason(now, targets, tried)
-	return nil, wait, status
+	return nil, place.Estimate{Time: wait}, status
 }
 
 // RandomBool implements fanout.Picker.
@@ -347,6 +347,9 @@
 	return p.entry.random.Float64() < probability
 }
 
+// Shuffle implements fanout.Picker.
+func (p *picker) Shuffle(n int, swap func(i, j int)) { p.entry.random.Shuffle(n, swap) }
+
 // TakeRetry implements fanout.Picker.
 func (p *picker) TakeRetry(now time.Time, service string, failed bool) bool {
 	return p.entry.budget.Take(now, service, failed)
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -52,7 +52,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
@@ -69,6 +68,7 @@
 	MaxHedgeDelayShare   float64       // upper bound of the hedge delay, as a share of the time until the answer must leave; of the route's goal for a request with one part
 	MaxOpenShareForHedge float64       // largest share of parts that may be open for a hedge to be sent before the last moment
 	SlowShardProbability float64       // probability with which a part is sent to a shard that is too slow for the goal, 0..1
+	QueuedTimeShare      float64       // share of the time until the answer must leave that a part may take at a scarce shard, if the request can do without the part
 	WaitInterval         time.Duration // interval at which a waiting part asks the Picker for a usable target
 	DownRetryAfter       time.Duration // Retry-After of a refusal because targets are down
 	BusyRetryAfter       time.Duration // Retry-After of a refusal because targets are busy
@@ -97,7 +97,9 @@
 	urgentHedgeFactor = 2
 	// DefaultSlowShardProbability lets a process find out within a few requests that a shard has recovered.
 	DefaultSlowShardProbability = 0.15
-	DefaultWaitInterval         = 5 * time.Millisecond
+	// DefaultQueuedTimeShare keeps the queue of a scarce shard short enough for routes with a lower goal.
+	DefaultQueuedTimeShare = 0.4
+	DefaultWaitInterval    = 5 * time.Millisecond
 	// DefaultDownRetryAfter is the interval at which targets that are down are probed.
 	DefaultDownRetryAfter = 500 * time.Millisecond
 	// DefaultBusyRetryAfter is the time in which a target processes the requests in its full queue.
@@ -146,14 +148,14 @@
 
 // Send asks the code that runs the plan to start an attempt, which is to send one part of the request to a target.
 type Send struct {
-	AttemptID    int // number of the attempt in the plan, for Plan.AttemptEnded
-	Part         int
-	Service      string
-	Target       *table.Target
-	TimeLeft     time.Duration // until the deadline of the request
-	ExpectedTime time.Duration // until the reply, as estimated by the Picker
-	Repeated     bool          // not the first attempt of the part
-	Hedge        bool          // another attempt of the part is still open
+	AttemptID int // number of the attempt in the plan, for Plan.AttemptEnded
+	Part      int
+	Service   string
+	Target    *table.Target
+	TimeLeft  time.Duration  // until the deadline of the request
+	Expected  place.Estimate // as estimated by the Picker
+	Repeated  bool           // not the first attempt of the part
+	Hedge     bool           // another attempt of the part is still open
 	// The plan leaves the fields below empty. The code that runs the plan sets them.
 	VerifyNew    bool     // see pool.Request
 	Unassigned   bool     // the target is assigned to other processes (place.Unassigned)
@@ -183,10 +185,10 @@
 
 // Picker chooses targets and accounts for the retry budget.
 type Picker interface {
-	// Pick returns a target of the service whose ID isn't in tried, and the expected duration of an attempt there. If no
-	// target is usable now, Pick returns nil and the reason; for place.InBackoff the duration is then the time until a target
-	// is usable again.
-	Pick(now time.Time, service string, tried []string) (*table.Target, time.Duration, place.Availability)
+	// Pick returns a target of the service whose ID isn't in tried, and the predicted time of an attempt there. If no target
+	// is usable now, Pick returns nil and the reason; for place.InBackoff, Estimate.Time is then the time until a target is
+	// usable again.
+	Pick(now time.Time, service string, tried []string) (*table.Target, place.Estimate, place.Availability)
 	// TakeRetry takes one more attempt at the service from the retry budget, and returns false if none is left. If failed is
 	// true, the attempt replaces a failed one; otherwise it is a hedge.
 	TakeRetry(now time.Time, service string, failed bool) bool
@@ -197,6 +199,8 @@
 	Suspicion(now time.Time, service string) Suspicion
 	// RandomBool returns true with probability p.
 	RandomBool(p float64) bool
+	// Shuffle shuffles n elements at random.
+	Shuffle(n int, swap func(i, j int))
 	// LateAfter returns a duration that few attempts exceed. An attempt that takes longer is late.
 	LateAfter() time.Duration
 }
@@ -261,6 +265,7 @@
 	cfg.MaxHedgeDelayShare = cmp.Or(cfg.MaxHedgeDelayShare, DefaultMaxHedgeDelayShare)
 	cfg.MaxOpenShareForHedge = cmp.Or(cfg.MaxOpenShareForHedge, DefaultMaxOpenShareForHedge)
 	cfg.SlowShardProbability = cmp.Or(cfg.SlowShardProbability, DefaultSlowShardProbability)
+	cfg.QueuedTimeShare = cmp.Or(cfg.QueuedTimeShare, DefaultQueuedTimeShare)
 	cfg.WaitInterval = cmp.Or(cfg.WaitInterval, DefaultWaitInterval)
 	cfg.DownRetryAfter = cmp.Or(cfg.DownRetryAfter, DefaultDownRetryAfter)
 	cfg.BusyRetryAfter = cmp.Or(cfg.BusyRetryAfter, DefaultBusyRetryAfter)
@@ -310,7 +315,7 @@
 	for i := range p.parts {
 		out = p.startAttempt(now, i, out)
 	}
-	out = p.dropSlowParts(now, out)
+	out = p.leaveOutParts(now, out)
 	if f := p.dueFinish(now); f != nil {
 		if len(out) > 0 && f.Code.Ran() == codes.NotRun {
 			// Nothing has been sent yet, so the sends are dropped.
@@ -380,10 +385,10 @@
 	repeated := len(part.triedTargets) > 0
 	t, expected, availability := p.picker.Pick(now, part.service, part.triedTargets)
 	if t == nil {
-		p.waitOrGiveUp(now, part, availability, expected)
+		p.waitOrGiveUp(now, part, availability, expected.Time)
 		return out
 	}
-	if part.openAttempts > 0 && !p.answerBy.IsZero() && now.Before(p.answerBy) && now.Add(expected).After(p.answerBy) {
+	if part.openAttempts > 0 && !p.answerBy.IsZero() && now.Before(p.answerBy) && now.Add(expected.Time).After(p.answerBy) {
 		return out // the reply to a hedge would arrive after the goal as well
 	}
 	// An attempt of which nothing reached a target put no load on the service, so the next attempt needs no retry budget.
@@ -444,56 +449,6 @@
 	}
 }
 
-// dropSlowParts removes the sends of the slowest parts whose replies are expected after the goal, up to the number of parts
-// that the route can do without. Start calls it before it returns the sends.
-func (p *Plan) dropSlowParts(now time.Time, out []Action) []Action {
-	if p.answerBy.IsZero() {
-		return out
-	}
-	maxDropped := len(p.parts) - p.requiredParts() - p.givenUpParts()
-	slowSends := slices.Clone(out)
-	slowSends = slices.DeleteFunc(slowSends, func(a Action) bool { return !now.Add(a.Send.ExpectedTime).After(p.answerBy) })
-	slices.SortFunc(slowSends, func(a, b Action) int { return cmp.Compare(b.Send.ExpectedTime, a.Send.ExpectedTime) })
-	for _, a := range slowSends[:max(min(maxDropped, len(slowSends)), 0)] {
-		if p.picker.RandomBool(p.cfg.SlowShardProbability) {
-			continue
-		}
-		part := &p.parts[a.Send.Part]
-		part.triedTargets, part.possibleRuns, part.possibleArrivals, part.openAttempts = nil, 0, 0, 0
-		p.attempts[a.Send.AttemptID].open = false
-		p.giveUp(part, ReasonShardTooSlow)
-		part.leftOut = true
-		out = slices.DeleteFunc(out, func(b Action) bool { return b.Send.AttemptID == a.Send.AttemptID })
-	}
-	return out
-}
-
-// sendLeftOutParts sends parts that dropSlowParts has left out, if too many other parts were lost since.
-func (p *Plan) sendLeftOutParts(now time.Time, out []Action) []Action {
-	for i := range p.parts {
-		part := &p.parts[i]
-		if !part.leftOut || p.givenUpParts() <= len(p.parts)-p.requiredParts() {
-			continue
-		}
-		part.leftOut, part.givenUp = false, false
-		out = p.startAttempt(now, i, out)
-		if part.openAttempts > 0 {
-			p.picker.RecordFirstAttempt(now, part.service)
-		}
-	}
-	return out
-}
-
-// givenUpParts returns the number of parts that are given up.
-func (p *Plan) givenUpParts() (n int) {
-	for i := range p.parts {
-		if p.parts[i].givenUp {
-			n++
-		}
-	}
-	return n
-}
-
 // giveUp gives up a part for the given reason, unless an attempt of the part is still open.
 func (p *Plan) giveUp(part *part, reason Reason) {
 	if part.openAttempts == 0 {
@@ -503,7 +458,7 @@
 }
 
 // newSend records an attempt of part i at target t and returns its Send.
-func (p *Plan) newSend(now time.Time, i int, t *table.Target, timeLeft time.Duration, repeated bool, expected time.Duration) *Send {
+func (p *Plan) newSend(now time.Time, i int, t *table.Target, timeLeft time.Duration, repeated bool, expected place.Estimate) *Send {
 	part := &p.parts[i]
 	part.triedTargets = append(part.triedTargets, t.ID)
 	part.possibleRuns++
@@ -511,7 +466,7 @@
 	part.openAttempts++
 	part.hedgeDelayStart = now
 	p.attempts = append(p.attempts, attempt{part: i, open: true})
-	return &Send{AttemptID: len(p.attempts) - 1, Part: i, Service: part.service, Target: t, TimeLeft: timeLeft, Repeated: repeated, Hedge: part.openAttempts > 1, ExpectedTime: expected}
+	return &Send{AttemptID: len(p.attempts) - 1, Part: i, Service: part.service, Target: t, TimeLeft: timeLeft, Repeated: repeated, Hedge: part.openAttempts > 1, Expected: expected}
 }
 
 // AttemptEnded records how the attempt with the given number ended, and returns the actions that follow from it.
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -25,13 +25,13 @@
 	suspicions              map[string]Suspicion       // by service
 }
 
-func (p *fakePicker) Pick(_ time.Time, service string, tried []string) (*table.Target, time.Duration, place.Availability) {
+func (p *fakePicker) Pick(_ time.Time, service string, tried []string) (*table.Target, place.Estimate, place.Availability) {
 	for _, t := range p.targets[service] {
 		if !slices.Contains(tried, t.ID) {
-			return t, p.expected[service], place.Usable
+			return t, place.Estimate{Time: p.expected[service]}, place.Usable
 		}
 	}
-	return nil, p.usableIn, p.availability
+	return nil, place.Estimate{Time: p.usableIn}, p.availability
 }
 
 func (p *fakePicker) TakeRetry(time.Time, string, bool) bool {
@@ -45,6 +45,10 @@
 
 func (p *fakePicker) RandomBool(float64) bool { return false }
 
+func (p *fakePicker) Shuffle(int, func(i, j int)) {}
+
+func (p *fakePicker) RandomFactor(float64) float64 { return 1 }
+
 func (p *fakePicker) LateAfter() time.Duration { return 20 * time.Millisecond }
 
 // newFakePicker returns a picker with three targets for each service and a budget of 100 retries.
--- a/internal/fanout/sim_test.go
+++ b/internal/fanout/sim_test.go
@@ -265,20 +265,20 @@
 	route   *table.Route
 }
 
-func (p *simPicker) Pick(now time.Time, service string, tried []string) (*table.Target, time.Duration, place.Availability) {
+func (p *simPicker) Pick(now time.Time, service string, tried []string) (*table.Target, place.Estimate, place.Availability) {
 	s := p.process.sim
 	targets := s.byService[service]
 	if s.baseline {
 		if len(tried) > 0 {
-			return nil, 0, place.Busy
+			return nil, place.Estimate{}, place.Busy
 		}
-		return targets[s.rnd.IntN(len(targets))], 0, place.Usable
+		return targets[s.rnd.IntN(len(targets))], place.Estimate{}, place.Usable
 	}
 	if t, expected, ok := p.process.balancer.Pick(now, s.rnd, p.route.Name, targets, tried); ok {
 		return t, expected, place.Usable
 	}
 	availability, wait := p.process.balancer.UnavailableReason(now, targets, tried)
-	return nil, wait, availability
+	return nil, place.Estimate{Time: wait}, availability
 }
 
 func (p *simPicker) Suspicion(time.Time, string) Suspicion { return Suspicion{} }
@@ -287,6 +287,12 @@
 	return !p.process.sim.baseline && p.process.sim.rnd.Float64() < x
 }
 
+func (p *simPicker) Shuffle(n int, swap func(i, j int)) { p.process.sim.rnd.Shuffle(n, swap) }
+
+func (p *simPicker) RandomFactor(width float64) float64 {
+	return 1 + width*(p.process.sim.rnd.Float64()-0.5)
+}
+
 func (p *simPicker) TakeRetry(now time.Time, service string, failed bool) bool {
 	return !p.process.sim.baseline && p.process.budget.Take(now, service, failed)
 }
--- a/internal/place/accept_test.go
+++ b/internal/place/accept_test.go
@@ -17,11 +17,11 @@
 	list := targets(3)
 	load := &Load{Running: 1, Slots: 2}
 	send := func(now time.Time, refuses bool) (id string, outcome Outcome) {
-		target, predicted, ok := b.Pick(now, rnd, "r", list, nil)
+		target, estimate, ok := b.Pick(now, rnd, "r", list, nil)
 		assert.Assert(t, ok)
 		if target.ID != "t0" && refuses && rnd.Float64() < 0.6 {
 			outcome = Refused
-			assert.Assert(t, predicted < ms(40), "a target that refuses is not slow: %s", predicted)
+			assert.Assert(t, estimate.Time < ms(40), "a target that refuses isn't slow: %s", estimate.Time)
 		}
 		b.RecordSend(now, target.ID)
 		b.RecordEnd(now.Add(ms(8)), target.ID, "r", SendResult{Outcome: outcome, Latency: ms(8), Load: load})
@@ -46,3 +46,24 @@
 	}
 }
 
+// Guards against a queue that is taken for a slow target: the time in the queue isn't part of the time of a turn, fades when no
+// answers come, and is predicted for the next send.
+func TestQueueTime(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	rnd := rand.New(rand.NewPCG(1, 2))
+	list := targets(1)
+	now := at(0)
+	for i := range 200 {
+		now = at(10 * i)
+		b.RecordSend(now.Add(-ms(60)), "t0")
+		b.RecordEnd(now, "t0", "r", SendResult{Outcome: Answered, Latency: ms(60), Load: &Load{Running: 2, Waiting: 10, Slots: 2}})
+	}
+	mean, _ := b.RouteTimes("r")
+	assert.Assert(t, mean > ms(8) && mean < ms(12), "%s", mean)
+	_, estimate, ok := b.Pick(now, rnd, "r", list, nil)
+	assert.Assert(t, ok)
+	assert.Assert(t, estimate.Queue > ms(40) && estimate.Queue < ms(60), "%s", estimate.Queue)
+	assert.Assert(t, estimate.Time > estimate.Queue)
+	_, estimate, _ = b.Pick(now.Add(5*queueHalfLife), rnd, "r", list, nil)
+	assert.Assert(t, estimate.Queue < ms(3), "%s", estimate.Queue)
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	b := place.New(place.Config{DataCentre: "dc-a"})
-//	t, expected, ok := b.Pick(now, rnd, route, view.Targets("desk-01"), tried)
+//	t, estimate, ok := b.Pick(now, rnd, route, view.Targets("desk-01"), tried)
 //	b.RecordSend(now, t.ID)
 //	b.RecordEnd(now, t.ID, route, place.SendResult{Outcome: place.Answered, Latency: d, Load: load})
 //	b.RecordAbandoned(now, t.ID, route, d)          // instead of RecordEnd: the reply is no longer needed
@@ -40,6 +40,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -83,9 +84,11 @@
 )
 
 const (
-	initialSendTime     = 10 * time.Millisecond  // mean time of a route before its first reply
-	sendTimeDecay       = 0.98                   // weight of the past in the mean time of a route
-	slowdownDecay       = 0.85                   // weight of the past in the slowdown of a target
+	initialSendTime     = 10 * time.Millisecond // mean time of a route before its first reply
+	sendTimeDecay       = 0.98                  // weight of the past in the mean time of a route
+	slowdownDecay       = 0.85                  // weight of the past in the slowdown of a target
+	queueHalfLife       = 800 * time.Millisecond
+	queueTimeDecay      = 0.5                    // weight of the past in the queue time of a target
 	failureDecay        = 0.85                   // weight of the past in the failure rate of a target
 	failureWeight       = 12                     // a target that always fails counts as 1 + failureWeight times slower
 	maxSlowdown         = 20                     // bound of the slowdown that is computed from a single reply
@@ -101,6 +104,7 @@
 	maxChanges           = 256             // bound of the changes that are kept for Changes
 	lastResortAge        = 3 * time.Second // a target that is down is a last resort only if its last reply is more recent
 	fullRateProbers      = 24              // number of processes up to which each of them probes at the full rate
+	refusedLoad          = 4               // load that is assumed of a target that refuses a send and doesn't report its load
 	unknownSlowdown      = 1.6             // slowdown that is assumed of a target that has not replied yet
 	highQuantile         = 0.9             // quantile of the send times that routeTimes.high estimates
 	highStep             = 0.04            // relative step of the estimate of highQuantile
@@ -157,6 +161,8 @@
 	reportedLoad          float64     // reported requests that are running or waiting, per slot
 	loadReportedAt        time.Time   // when reportedLoad was reported
 	slots                 int
+	queueTime             float64       // moving average of the time for which answered sends waited at the target, in seconds
+	queueTimeAt           time.Time     // time of the last answer
 	lastReply             time.Time     // time of the last reply
 	consecutiveUnanswered int           // sends without a reply in a row
 	consecutiveBroken     int           // broken sends in a row
@@ -339,37 +345,43 @@
 	return availability, wait
 }
 
-// Pick returns the target with the lowest cost, and the predicted time of a send to it. It leaves out the tried targets and those that
-// can't be picked now. If no target remains, Pick falls back to a target that is down only because sends got no reply, and
-// that has replied recently: it may be slow because it does the work of the others.
-func (b *Balancer) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, time.Duration, bool) {
+// Estimate is the predicted time of a send.
+type Estimate struct {
+	Time  time.Duration // until the reply, including Queue
+	Queue time.Duration // part of Time for which the request waits at the target behind other requests
+}
+
+// Pick returns the target with the lowest cost, and the predicted time of a send to it. It leaves out the tried targets and
+// those that can't be picked now. If no target remains, Pick falls back to a target that is down only because sends got no
+// reply, and that has replied recently: it may be slow because it does the work of the others.
+func (b *Balancer) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, Estimate, bool) {
 	usable := func(t *table.Target) bool {
 		availability := b.Availability(now, t)
 		return availability == Usable || availability == Unassigned
 	}
-	if t, expected, ok := b.pick(now, rnd, route, targets, tried, usable); ok {
-		return t, expected, true
+	if t, estimate, ok := b.pick(now, rnd, route, targets, tried, usable); ok {
+		return t, estimate, true
 	}
 	return b.pick(now, rnd, route, targets, tried, func(t *table.Target) bool { return b.Availability(now, t) == Down && b.isLastResort(now, t) })
 }
 
 // pick returns the target with the lowest cost, and the predicted time of a send to it, among the targets that are allowed and
 // not tried.
-func (b *Balancer) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, isAllowed func(t *table.Target) bool) (*table.Target, time.Duration, bool) {
-	var best *table.Target
-	var bestCost, bestTime float64
+func (b *Balancer) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, isAllowed func(t *table.Target) bool) (best *table.Target, estimate Estimate, ok bool) {
+	var lowestCost float64
 	times := b.timesOf(route)
 	for _, t := range targets {
 		if slices.Contains(tried, t.ID) || !isAllowed(t) {
 			continue
 		}
+		p := b.predict(now, times, t)
 		variation := 1 + b.cfg.Jitter*(rnd.Float64()-0.5)
-		predicted, cost := b.predict(now, times, t)
-		if best == nil || cost*variation < bestCost {
-			best, bestCost, bestTime = t, cost*variation, predicted*variation
+		if best == nil || p.cost*variation < lowestCost {
+			best, lowestCost = t, p.cost*variation
+			estimate = Estimate{Time: min(fromSeconds(p.time*variation), stallPenalty), Queue: fromSeconds(p.queue * variation)}
 		}
 	}
-	return best, min(fromSeconds(bestTime), stallPenalty), best != nil
+	return best, estimate, best != nil
 }
 
 // isLastResort reports whether a target is down only because sends got no reply, has replied recently, and has a free slot
@@ -379,9 +391,15 @@
 	return s.downByNoReply && now.Sub(s.lastReply) < lastResortAge && len(s.inFlight) < max(s.slots/2, 1)
 }
 
-// predict returns the predicted time of a send to a target, and the cost by which targets are compared, both in seconds. The
-// cost also counts the failures and the repetitions that a send to the target is expected to need.
-func (b *Balancer) predict(now time.Time, times *routeTimes, t *table.Target) (predicted, cost float64) {
+// prediction describes a send to a target, in seconds.
+type prediction struct {
+	time  float64 // until the reply
+	queue float64 // part of time for which the request waits at the target
+	cost  float64 // by which targets are compared; it also counts the failures and repetitions that the send is expected to need
+}
+
+// predict describes a send to a target.
+func (b *Balancer) predict(now time.Time, times *routeTimes, t *table.Target) prediction {
 	s := b.stateOf(t.ID)
 	if t.Slots > 0 {
 		s.slots = t.Slots
@@ -390,30 +408,46 @@
 	if !s.hasAnswered {
 		slowdown = unknownSlowdown
 	}
-	queue := float64(len(s.inFlight)) / float64(s.slots)
+	load := float64(len(s.inFlight)) / float64(s.slots)
 	if age := now.Sub(s.loadReportedAt); !s.loadReportedAt.IsZero() && s.reportedLoad > 0 {
-		queue = max(queue, s.reportedLoad*loadWeight(age))
+		load = max(load, s.reportedLoad*loadWeight(age))
 	}
-	predicted = times.mean * slowdown * (1 + queue)
-	cost = predicted*failureWeight*s.failureRate + times.mean*repetitionCost*s.refusals.repetitions(now)
+	run := times.mean * slowdown
+	var delay float64
 	if t.DataCentre != b.cfg.DataCentre {
-		predicted += b.cfg.RemoteCost.Seconds()
+		delay += b.cfg.RemoteCost.Seconds()
 	}
 	if b.cfg.PauseDelay != nil {
 		// Even a slow send, of the high quantile, must have ended before a pause of the target begins.
-		predicted += b.cfg.PauseDelay(now, t.ID, fromSeconds(times.high)).Seconds()
+		delay += b.cfg.PauseDelay(now, t.ID, fromSeconds(times.high)).Seconds()
 	}
 	if b.cfg.HasIdle != nil && !b.cfg.HasIdle(t.ID) {
-		predicted += b.cfg.DialCost.Seconds()
+		delay += b.cfg.DialCost.Seconds()
 	}
 	if b.sendLimit != nil && b.sendLimit(t) == 0 {
-		predicted += b.cfg.DialCost.Seconds()
+		delay += b.cfg.DialCost.Seconds()
 	}
 	if b.stalled(now, times, s) {
 		// A stalled target comes after all others, and the one with the longest stall last.
-		predicted += stallPenalty.Seconds() + now.Sub(s.inFlight[0]).Seconds()
+		delay += stallPenalty.Seconds() + now.Sub(s.inFlight[0]).Seconds()
+	}
+	p := prediction{queue: s.expectedQueueTime(now, run)}
+	p.time = run + p.queue + delay
+	p.cost = (run*(1+load)+p.queue)*(1+failureWeight*s.failureRate) + times.mean*repetitionCost*s.refusals.repetitions(now) + delay
+	return p
+}
+
+// expectedQueueTime returns for how long a send is expected to wait at the target, in seconds. The time of a send without waiting
+// is run. The queue that the last answers have met drains as time passes, and grows with the sends since.
+func (s *targetState) expectedQueueTime(now time.Time, run float64) float64 {
+	left := s.queueTime * math.Exp2(-now.Sub(s.queueTimeAt).Seconds()/queueHalfLife.Seconds())
+	newSends := 0
+	for _, began := range s.inFlight {
+		if began.After(s.queueTimeAt) {
+			newSends++
+		}
 	}
-	return predicted, cost + predicted
+	return left + run*max(float64(newSends)/float64(s.slots)-1, 0)
 }
 
 // loadWeight returns the weight of a reported load of the given age.
@@ -430,7 +464,7 @@
 	if s.lastReply.After(lastActivity) {
 		lastActivity = s.lastReply
 	}
-	limit := max(time.Duration(b.cfg.StallFactor*times.mean*s.slowdown*float64(time.Second)), b.cfg.MinStall)
+	limit := max(fromSeconds(b.cfg.StallFactor*times.mean*s.slowdown), b.cfg.MinStall)
 	return now.Sub(lastActivity) > limit
 }
 
@@ -491,15 +525,17 @@
 	switch r.Outcome {
 	case Answered:
 		s.hasAnswered = true
-		b.updateTimes(s, b.timesOf(route), r.Latency, true)
+		b.updateTimes(s, b.timesOf(route), r.Latency, s.loadAt(now), true)
 		s.failureRate *= failureDecay
 		s.probeDelay = 0
 	case Failed:
 		s.failureRate = s.failureRate*failureDecay + (1 - failureDecay)
 	case Refused:
-		// A target refuses a request when its queue is full, even if it reported a low load before.
-		s.reportedLoad = max(s.reportedLoad, 4)
-		s.loadReportedAt = now
+		if r.Load == nil {
+			// A target refuses a request when its queue is full, even if it reported a low load before.
+			s.reportedLoad = max(s.reportedLoad, refusedLoad)
+			s.loadReportedAt = now
+		}
 	case Replaced, NotSent:
 		b.markDown(now, id, s, r.Outcome)
 	case Broken:
@@ -527,11 +563,26 @@
 	}
 }
 
-// updateTimes updates the slowdown of a target and the send times of a route. If complete is false, the send was given up
-// before a reply, and the latency is only a lower bound of the send's time.
-func (b *Balancer) updateTimes(s *targetState, times *routeTimes, latency time.Duration, complete bool) {
+// loadAt returns the load that the target has reported just now, and 0 if the last report is older.
+func (s *targetState) loadAt(now time.Time) float64 {
+	if !s.loadReportedAt.Equal(now) {
+		return 0
+	}
+	return s.reportedLoad
+}
+
+// updateTimes updates the slowdown of a target and the send times of a route. If the target reports with its reply that more
+// requests are there than it has slots, the send has waited for about as many turns, and only the time of its own turn counts;
+// the high quantile counts the whole latency. If complete is false, the send was given up before a reply, and the latency is
+// only a lower bound of the send's time.
+func (b *Balancer) updateTimes(s *targetState, times *routeTimes, latency time.Duration, load float64, complete bool) {
 	seconds := latency.Seconds()
-	ratio := min(seconds/times.mean, maxSlowdown)
+	turn := seconds / max(load, 1)
+	if complete {
+		s.queueTime = queueTimeDecay*s.queueTime + (1-queueTimeDecay)*(seconds-turn)
+		s.queueTimeAt = s.lastReply
+	}
+	ratio := min(turn/times.mean, maxSlowdown)
 	if complete || ratio > s.slowdown {
 		s.slowdown = slowdownDecay*s.slowdown + (1-slowdownDecay)*ratio
 	}
@@ -539,7 +590,7 @@
 		return
 	}
 	// The bound limits how far an outlier moves the mean.
-	times.mean = sendTimeDecay*times.mean + (1-sendTimeDecay)*min(seconds, 4*times.mean)
+	times.mean = sendTimeDecay*times.mean + (1-sendTimeDecay)*min(turn, 4*times.mean)
 	if seconds > times.high {
 		times.high += highStep * highQuantile * times.high
 	} else {
@@ -552,7 +603,7 @@
 func (b *Balancer) RecordAbandoned(now time.Time, id, route string, waited time.Duration) {
 	s := b.stateOf(id)
 	s.removeSend(now.Add(-waited))
-	b.updateTimes(s, b.timesOf(route), waited, false)
+	b.updateTimes(s, b.timesOf(route), waited, 0, false)
 	b.recordUnanswered(now, id, s, b.timesOf(route), waited)
 }
 
