entry: the open sends of a request that failed are canceled at once

Cause: sends went on for 250 ms after the end of a request also where it had failed. While shards are overloaded, targets worked for nothing, and callers repeated the requests. Ruled out for answered requests, whose connections are worth keeping.

Change: they are canceled with the request. Test with a target that counts canceled requests; it fails without the change.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -18,7 +18,9 @@
 )
 
 // lingerDuration is how long the open sends of a request go on after the request was answered without them. A target that
-// has only paused replies within this time, so that its connection can be kept.
+// has only paused replies within this time, so that its connection can be kept. The sends of a request that has failed are
+// canceled at once: a fleet whose requests fail is overloaded, callers repeat these requests, and targets would do the work
+// twice.
 const lingerDuration = 250 * time.Millisecond
 
 // maxRetryAfter is the longest time for which a target may ask to get no requests. A longer time is ignored as a fault of the
@@ -38,7 +40,7 @@
 	replies     map[int]*pool.Reply // by attempt ID
 	seenDigests map[string]bool     // digests of the parts that have been answered
 	cancel      context.CancelFunc  // cancels sendsCtx
-	sendsCtx    context.Context     // of all sends; outlives the call by lingerDuration, but not the deadline of the plan
+	sendsCtx    context.Context     // of all sends; outlives an answered call by lingerDuration, but not the deadline of the plan
 	sendCount   int                 // number of sends that were started
 	wakeAt      time.Time           // when to call plan.Tick next
 }
@@ -77,7 +79,11 @@
 			return res
 		}
 	}
-	time.AfterFunc(lingerDuration, r.cancel)
+	if finish.Code.OK() {
+		time.AfterFunc(lingerDuration, r.cancel)
+	} else {
+		r.cancel()
+	}
 	res.finish = *finish
 	res.sends = r.sendCount
 	for _, id := range finish.AttemptIDs {
