fanout: a search of which nothing was sent until its deadline says so

Cause: a search whose parts all waited for busy targets ended at its deadline with 4002, may have run, which callers may not repeat at once, and the reasons of the waiting parts were empty in the log.

Change: it ends as overloaded (not run) where nothing may have run, and a part keeps the reason for which it waited.

--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -369,7 +369,7 @@
 	case part.openAttempts > 0:
 		return ReasonNoReply
 	}
-	return part.lastFailure
+	return cmp.Or(part.lastFailure, part.reason)
 }
 
 // startAttempt appends the Send of a new attempt of part i to the actions, if a target is usable and the limits allow the
@@ -654,6 +654,9 @@
 	case answeredCount >= required:
 		return p.answerFinish(ReasonDeadline)
 	}
+	if !p.mayHaveRun() {
+		return p.failureFinish(ReasonDeadline)
+	}
 	return &Finish{Code: codes.DeadlineRunning, Reason: ReasonDeadline, MissingCount: total - answeredCount}
 }
 
@@ -691,7 +694,7 @@
 	}
 	f := &Finish{Code: codes.NoTarget, Reason: reason, MissingCount: len(p.parts), RetryAfter: p.cfg.DownRetryAfter}
 	for i := range p.parts {
-		if part := &p.parts[i]; part.givenUp && (part.reason == ReasonBusy || part.reason == ReasonTargetsInBackoff || part.reason == ReasonWaitsForSuspect) {
+		if part := &p.parts[i]; !part.hasReply && (part.reason == ReasonBusy || part.reason == ReasonTargetsInBackoff || part.reason == ReasonWaitsForSuspect) {
 			f.Code, f.RetryAfter = codes.Overloaded, p.cfg.BusyRetryAfter
 		}
 	}
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -507,3 +507,21 @@
 	assert.Assert(t, p.Finished())
 	assert.Equal(t, picker.recordFirstAttemptCalls, 10)
 }
+
+// Guards against a search that has waited for busy targets until its deadline, has sent nothing, and is reported as one that may
+// have run, without a reason.
+func TestNothingSentUntilDeadline(t *testing.T) {
+	fake := newFakePicker()
+	fake.availability = place.Busy
+	r, _ := gatherRouteAndPicker(3, 1)
+	p := newPlan(r, fake)
+	assert.Equal(t, len(sends(p.Start(at(0)))), 0)
+	var actions []Action
+	for !p.Finished() {
+		actions = p.Tick(p.NextTick())
+	}
+	f := finishOf(t, actions)
+	assert.Equal(t, f.Code, codes.Overloaded)
+	assert.Equal(t, f.Code.Ran(), codes.NotRun)
+	assert.Equal(t, f.MissingParts[0], r.Gather[0]+":"+string(ReasonBusy))
+}
