fanout: a repetition that reached no target goes back to the retry budget

Cause: budget.Return had no caller. A repetition whose connection couldn't be opened counted like one that a target had received, so that the budget ran out while targets were at their connection bound or gone.

Change: the plan returns it (Picker.ReturnRetry). Test: a repetition that isn't sent, with a budget of one. The bound of the budget concerns arrivals only, so it holds as before.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -366,6 +366,9 @@
 	return p.entry.budget.Take(now, service, failed)
 }
 
+// ReturnRetry implements fanout.Picker.
+func (p *picker) ReturnRetry(now time.Time, service string) { p.entry.budget.Return(now, service) }
+
 // RecordFirstAttempt implements fanout.Picker.
 func (p *picker) RecordFirstAttempt(now time.Time, service string) {
 	p.entry.budget.RecordFirstAttempt(now, service)
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -193,6 +193,8 @@
 	// TakeRetry takes one more attempt at the service from the retry budget, and returns false if none is left. If failed is
 	// true, the attempt replaces a failed one; otherwise it is a hedge.
 	TakeRetry(now time.Time, service string, failed bool) bool
+	// ReturnRetry returns an attempt to the retry budget, because nothing of it has reached a target.
+	ReturnRetry(now time.Time, service string)
 	// RecordFirstAttempt records the first attempt of a part at a service. The retry budget grows with the number of first
 	// attempts.
 	RecordFirstAttempt(now time.Time, service string)
@@ -238,8 +240,9 @@
 
 // attempt holds the state of one attempt.
 type attempt struct {
-	part int
-	open bool
+	part       int
+	open       bool
+	tookBudget bool // it was taken from the retry budget
 }
 
 // Plan is the state of one request. Use New.
@@ -399,12 +402,15 @@
 		return out // the reply to a hedge would arrive after the goal as well
 	}
 	// An attempt of which nothing reached a target put no load on the service, so the next attempt needs no retry budget.
-	if repeated && part.possibleArrivals > 0 && !p.picker.TakeRetry(now, part.service, part.openAttempts == 0) {
+	tookBudget := repeated && part.possibleArrivals > 0
+	if tookBudget && !p.picker.TakeRetry(now, part.service, part.openAttempts == 0) {
 		p.budgetDenials++
 		p.giveUp(part, ReasonBudgetUsedUp)
 		return out
 	}
-	return append(out, Action{Send: p.newSend(now, i, t, timeLeft, repeated, expected)})
+	send := p.newSend(now, i, t, timeLeft, repeated, expected)
+	p.attempts[send.AttemptID].tookBudget = tookBudget
+	return append(out, Action{Send: send})
 }
 
 // checkSuspicion reports whether the part may be sent now: a request that is suspected of crashing targets runs on one
@@ -498,6 +504,9 @@
 		part.possibleRuns--
 		if outcome == place.NotSent {
 			part.possibleArrivals--
+			if p.attempts[attemptID].tookBudget {
+				p.picker.ReturnRetry(now, part.service)
+			}
 		}
 		part.lastFailure = ReasonNotRun
 		if !part.hasReply && part.openAttempts == 0 {
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -39,6 +39,8 @@
 	return p.retryBudget >= 0
 }
 
+func (p *fakePicker) ReturnRetry(time.Time, string) { p.retryBudget++ }
+
 func (p *fakePicker) Suspicion(_ time.Time, service string) Suspicion { return p.suspicions[service] }
 
 func (p *fakePicker) RecordFirstAttempt(time.Time, string) { p.recordFirstAttemptCalls++ }
@@ -525,3 +527,18 @@
 	assert.Equal(t, f.Code.Ran(), codes.NotRun)
 	assert.Equal(t, f.MissingParts[0], r.Gather[0]+":"+string(ReasonBusy))
 }
+
+// Guards against repetitions that use up the retry budget although nothing of them has reached a target.
+func TestUnsentRetryIsReturned(t *testing.T) {
+	fake := newFakePicker("s")
+	fake.retryBudget = 1
+	r := singleRoute(table.Safe)
+	r.MaxAttempts = 3
+	p := newPlan(r, fake)
+	p.Start(at(0))
+	actions := p.AttemptEnded(at(5), 0, place.Refused)
+	assert.Equal(t, fake.retryBudget, 0)
+	actions = p.AttemptEnded(at(6), sends(actions)[0].AttemptID, place.NotSent)
+	assert.Equal(t, len(sends(actions)), 1)
+	assert.Equal(t, fake.retryBudget, 0)
+}
--- a/internal/fanout/sim_test.go
+++ b/internal/fanout/sim_test.go
@@ -297,6 +297,8 @@
 	return !p.process.sim.baseline && p.process.budget.Take(now, service, failed)
 }
 
+func (p *simPicker) ReturnRetry(now time.Time, service string) { p.process.budget.Return(now, service) }
+
 func (p *simPicker) RecordFirstAttempt(now time.Time, service string) {
 	p.process.budget.RecordFirstAttempt(now, service)
 }
