--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -13,6 +13,7 @@
 //	query --addr ADDR ... TEXT           send one query as a caller
 //	order --addr ADDR ... BODY           place one order as a caller
 //	status --addr ADDR                   describe a running entry process
+//	trace --failed FILE...               count logged requests by cause
 //	example-config                       print a settings file with every key
 //	completion                           print the completion script for bash
 //	version                              print the version
@@ -110,6 +111,7 @@
 		{"query", "ask one query as a caller", queryHelp, &queryCommand{app: a}},
 		{"order", "place one order as a caller", orderHelp, &orderCommand{app: a}},
 		{"status", "describe a running entry process", statusHelp, &statusCommand{app: a}},
+		{"trace", "count by cause the requests that were not answered completely", traceHelp, &traceCommand{app: a}},
 		{"example-config", "print a settings file with every key", exampleHelp, &exampleCommand{app: a}},
 		{"completion", "print the completion script for bash", completionHelp, &completionCommand{app: a}},
 		{"version", "print the version", "Prints the version, the revision that it was built from, and the version of Go.", &versionCommand{app: a}},
--- a/internal/cmds/help.go
+++ b/internal/cmds/help.go
@@ -69,6 +69,13 @@
 		`is, which entry VMs it reaches, and which targets are blocked or draining. With --wait it waits until ` +
 		`the process serves and may send to the targets of which it is the primary dispatcher. Exits with 1 if the process can't be reached or takes no new work, or if it did not get ready within --wait.`
 
+	traceHelp = `Reads the logs of entry processes, plain or compressed with gzip, and counts the requests that were not ` +
+		`answered completely: by window of time, route, outcome, reason, and how the last send before the end went. The ` +
+		`column suppressed counts the lines that the rate limit of the log has dropped. A file named - is standard input.
+
+Example:
+  fuchsiarelay trace --failed --window 10s /var/log/fuchsiarelay/*.gz`
+
 	exampleHelp = `Prints a settings file for serve: every key with its meaning and default. Keys with a default are commented out.`
 
 	completionHelp = `Prints a completion script for bash. Use it in the current shell with:
