--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -28,10 +28,13 @@
 // answered without the missing parts if the parts that have replied reach the coverage that the route requires
 // (Route.MinCoverage).
 //
-// Overloaded shards: a part whose reply is expected after the goal would be left out of the answer, and its target would do
-// useless work while other requests wait there. The slowest of such parts are therefore not sent at all, up to the number of
-// parts that the route can do without. A share of them, Config.SlowShardProbability, is sent nevertheless, to find out
-// whether the shard is still slow.
+// Slow shards: a part whose reply is expected after the goal would be left out of the answer, and its target would do useless
+// work while other requests wait there. The slowest of such parts are therefore not sent at all, up to the number of parts
+// that the route can do without. A share of them, Config.SlowShardProbability, is sent nevertheless, to find out whether the
+// shard is still slow.
+//
+// Scarce shards: if requests queue at more shards than a request can do without, each request leaves out a random selection of
+// them, and is refused before anything is sent if the queues of the others would make it late; see scarce.go.
 //
 // Refusing targets: while many targets refuse a part of what they are sent, a request may lose more parts after its start. If
 // it can't do without as many parts as before, those that were left out as too slow are sent after all: a late answer is worth
