place: a target that goes on resetting new connections is taken out of use

Cause: found by reading. Since a reset of a new connection is no sign of a target that is down, one that resets all of them for good would be tried each 0.8 s for ever, and its shard would wait for it instead of giving up.

Change: a reset after the longest pause, without any reply since the first, takes it out of use until its health page answers. Test: six resets in 5 s. scarce.go: names and order of cases, no change of behaviour.

--- a/internal/fanout/scarce.go
+++ b/internal/fanout/scarce.go
@@ -25,16 +25,17 @@
 		return out
 	}
 	longestQueued := time.Duration(p.cfg.QueuedTimeShare * float64(p.answerBy.Sub(now)))
-	var slow, late, scarce []*Send
+	var slow, scarce, tooLong []*Send // tooLong is a part of scarce
 	for _, a := range out {
 		expected := a.Send.Expected
-		switch isLate := now.Add(expected.Time).After(p.answerBy); {
-		case isLate && now.Add(expected.Time-expected.Queue).After(p.answerBy):
+		isLate := now.Add(expected.Time).After(p.answerBy)
+		switch {
+		case now.Add(expected.Time - expected.Queue).After(p.answerBy):
 			slow = append(slow, a.Send)
 		case expected.Queue > expected.Time/2:
 			scarce = append(scarce, a.Send)
 			if expected.Time > longestQueued {
-				late = append(late, a.Send)
+				tooLong = append(tooLong, a.Send)
 			}
 		case isLate:
 			slow = append(slow, a.Send)
@@ -46,10 +47,11 @@
 	out, dispensable = p.leaveOut(out, slow, dispensable, sendAnyway)
 	if len(scarce) > dispensable {
 		// Other requests show whether these shards recover.
-		late, sendAnyway = scarce, 0
-		p.picker.Shuffle(len(late), func(i, j int) { late[i], late[j] = late[j], late[i] })
+		p.picker.Shuffle(len(scarce), func(i, j int) { scarce[i], scarce[j] = scarce[j], scarce[i] })
+		out, _ = p.leaveOut(out, scarce, dispensable, 0)
+		return out
 	}
-	out, _ = p.leaveOut(out, late, dispensable, sendAnyway)
+	out, _ = p.leaveOut(out, tooLong, dispensable, sendAnyway)
 	return out
 }
 
--- a/internal/place/dial.go
+++ b/internal/place/dial.go
@@ -8,7 +8,8 @@
 //
 // A reset of a new connection is therefore not a sign that the target is down: the target serves the connections that it has
 // accepted. This process opens one connection to a target at a time, and none for a pause after such a reset, which doubles
-// with each further one. Meanwhile it sends to the target only over the connections that it has.
+// with each further one. Meanwhile it sends to the target only over the connections that it has. A target that goes on
+// resetting after the longest pause, and has replied to nothing since, is down until its health page answers.
 const (
 	minDialPause = 50 * time.Millisecond
 	maxDialPause = 800 * time.Millisecond
@@ -35,11 +36,14 @@
 }
 
 // pauseDialing makes this process open no new connections to the target for a while. A reset of a second connection that was
-// opened before the pause began doesn't lengthen it.
-func (s *targetState) pauseDialing(now time.Time) {
+// opened before the pause began doesn't lengthen it. It reports whether the longest pause has passed without a reply from the
+// target.
+func (s *targetState) pauseDialing(now time.Time) (silent bool) {
 	if now.Before(s.noDialUntil) {
-		return
+		return false
 	}
+	silent = s.dialPause == maxDialPause
 	s.dialPause = min(max(2*s.dialPause, minDialPause), maxDialPause)
 	s.noDialUntil = now.Add(s.dialPause)
+	return silent
 }
--- a/internal/place/dial_test.go
+++ b/internal/place/dial_test.go
@@ -89,3 +89,20 @@
 	recordAnswers(b, at(60), "t0", 1, ms(10))
 	assert.Assert(t, !b.ResetsNewConns("t0"))
 }
+
+// Guards against a target that resets all connections for good, and is tried again and again because a reset isn't taken for a
+// failure.
+func TestTargetThatResetsForGood(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	list := targets(1)
+	resets := 0
+	for now := at(0); now.Before(at(5000)); now = now.Add(ms(5)) {
+		if b.Availability(now, list[0]) == Usable {
+			resets++
+			b.RecordSend(now, "t0")
+			b.RecordEnd(now, "t0", "r", SendResult{Outcome: Broken, NewConnReset: true})
+		}
+	}
+	assert.Equal(t, resets, 6)
+	assert.Assert(t, b.IsDown("t0"))
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -516,7 +516,9 @@
 		s.dialPause = 0
 	}
 	if r.NewConnReset {
-		s.pauseDialing(now)
+		if s.pauseDialing(now) {
+			b.markDown(now, id, s, r.Outcome)
+		}
 		return
 	}
 	if r.Outcome <= Refused {
