place: queue times in a file of their own; names and pages

No change of behaviour: expectedQueueTime, Estimate and the rest are moved to queue.go, a service time is called so, glossary and pages follow.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -13,12 +13,16 @@
 // # Load patterns
 //
 // Uneven targets: the expected time of a send is the mean time of the route, multiplied by the slowdown of the target and
-// by a factor for its queue. The slowdown is a moving average over some tens of replies, so that a target that becomes slow
+// by a factor for its load. The slowdown is a moving average over some tens of replies, so that a target that becomes slow
 // gets fewer sends, and regains its share of the load when it is fast again.
 //
 // Many processes and one idle target: all processes read the same reported load and would send to the same target. Expected
 // times are therefore varied at random by Jitter, and a report counts less as it ages.
 //
+// Queues: the time in the queue of a target is estimated apart from the service time; see queue.go.
+//
+// Refusing targets: targets that refuse many sends are avoided; see accept.go.
+//
 // Pauses: a target that holds sends of this process and hasn't replied for several times the mean time of the route is
 // passed over until it replies. Other targets take its share in the meantime.
 //
@@ -40,7 +44,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -84,11 +87,9 @@
 )
 
 const (
-	initialSendTime     = 10 * time.Millisecond // mean time of a route before its first reply
-	sendTimeDecay       = 0.98                  // weight of the past in the mean time of a route
-	slowdownDecay       = 0.85                  // weight of the past in the slowdown of a target
-	queueHalfLife       = 800 * time.Millisecond
-	queueTimeDecay      = 0.5                    // weight of the past in the queue time of a target
+	initialSendTime     = 10 * time.Millisecond  // mean time of a route before its first reply
+	sendTimeDecay       = 0.98                   // weight of the past in the mean time of a route
+	slowdownDecay       = 0.85                   // weight of the past in the slowdown of a target
 	failureDecay        = 0.85                   // weight of the past in the failure rate of a target
 	failureWeight       = 12                     // a target that always fails counts as 1 + failureWeight times slower
 	maxSlowdown         = 20                     // bound of the slowdown that is computed from a single reply
@@ -180,7 +181,7 @@
 
 // routeTimes holds the send times of one route.
 type routeTimes struct {
-	mean float64 // moving average, in seconds
+	mean float64 // moving average of the service times, in seconds
 	high float64 // estimate of the highQuantile, in seconds; a send that takes longer is late
 }
 
@@ -345,12 +346,6 @@
 	return availability, wait
 }
 
-// Estimate is the predicted time of a send.
-type Estimate struct {
-	Time  time.Duration // until the reply, including Queue
-	Queue time.Duration // part of Time for which the request waits at the target behind other requests
-}
-
 // Pick returns the target with the lowest cost, and the predicted time of a send to it. It leaves out the tried targets and
 // those that can't be picked now. If no target remains, Pick falls back to a target that is down only because sends got no
 // reply, and that has replied recently: it may be slow because it does the work of the others.
@@ -412,7 +407,7 @@
 	if age := now.Sub(s.loadReportedAt); !s.loadReportedAt.IsZero() && s.reportedLoad > 0 {
 		load = max(load, s.reportedLoad*loadWeight(age))
 	}
-	run := times.mean * slowdown
+	serviceTime := times.mean * slowdown
 	var delay float64
 	if t.DataCentre != b.cfg.DataCentre {
 		delay += b.cfg.RemoteCost.Seconds()
@@ -431,25 +426,12 @@
 		// A stalled target comes after all others, and the one with the longest stall last.
 		delay += stallPenalty.Seconds() + now.Sub(s.inFlight[0]).Seconds()
 	}
-	p := prediction{queue: s.expectedQueueTime(now, run)}
-	p.time = run + p.queue + delay
-	p.cost = (run*(1+load)+p.queue)*(1+failureWeight*s.failureRate) + times.mean*repetitionCost*s.refusals.repetitions(now) + delay
+	p := prediction{queue: s.expectedQueueTime(now, serviceTime)}
+	p.time = serviceTime + p.queue + delay
+	p.cost = (serviceTime*(1+load)+p.queue)*(1+failureWeight*s.failureRate) + times.mean*repetitionCost*s.refusals.repetitions(now) + delay
 	return p
 }
 
-// expectedQueueTime returns for how long a send is expected to wait at the target, in seconds. The time of a send without waiting
-// is run. The queue that the last answers have met drains as time passes, and grows with the sends since.
-func (s *targetState) expectedQueueTime(now time.Time, run float64) float64 {
-	left := s.queueTime * math.Exp2(-now.Sub(s.queueTimeAt).Seconds()/queueHalfLife.Seconds())
-	newSends := 0
-	for _, began := range s.inFlight {
-		if began.After(s.queueTimeAt) {
-			newSends++
-		}
-	}
-	return left + run*max(float64(newSends)/float64(s.slots)-1, 0)
-}
-
 // loadWeight returns the weight of a reported load of the given age.
 func loadWeight(age time.Duration) float64 {
 	return float64(loadHalfLife) / float64(loadHalfLife+max(age, 0))
@@ -565,26 +547,16 @@
 	}
 }
 
-// loadAt returns the load that the target has reported just now, and 0 if the last report is older.
-func (s *targetState) loadAt(now time.Time) float64 {
-	if !s.loadReportedAt.Equal(now) {
-		return 0
-	}
-	return s.reportedLoad
-}
-
-// updateTimes updates the slowdown of a target and the send times of a route. If the target reports with its reply that more
-// requests are there than it has slots, the send has waited for about as many turns, and only the time of its own turn counts;
-// the high quantile counts the whole latency. If complete is false, the send was given up before a reply, and the latency is
-// only a lower bound of the send's time.
+// updateTimes updates the slowdown and the queue time of a target, and the send times of a route. The given load is the one that
+// the target has reported with its reply. If complete is false, the send was given up before a reply, and the latency is only a
+// lower bound of the send's time.
 func (b *Balancer) updateTimes(s *targetState, times *routeTimes, latency time.Duration, load float64, complete bool) {
 	seconds := latency.Seconds()
-	turn := seconds / max(load, 1)
+	serviceTime := serviceTimeOf(seconds, load)
 	if complete {
-		s.queueTime = queueTimeDecay*s.queueTime + (1-queueTimeDecay)*(seconds-turn)
-		s.queueTimeAt = s.lastReply
+		s.recordQueueTime(seconds - serviceTime)
 	}
-	ratio := min(turn/times.mean, maxSlowdown)
+	ratio := min(serviceTime/times.mean, maxSlowdown)
 	if complete || ratio > s.slowdown {
 		s.slowdown = slowdownDecay*s.slowdown + (1-slowdownDecay)*ratio
 	}
@@ -592,7 +564,7 @@
 		return
 	}
 	// The bound limits how far an outlier moves the mean.
-	times.mean = sendTimeDecay*times.mean + (1-sendTimeDecay)*min(turn, 4*times.mean)
+	times.mean = sendTimeDecay*times.mean + (1-sendTimeDecay)*min(serviceTime, 4*times.mean)
 	if seconds > times.high {
 		times.high += highStep * highQuantile * times.high
 	} else {
