place: a pause isn't taken for a queue

Replies that a pause holds up report a load like that of a queue, and their shard was left out for a second.

Change: a shorter queue counts more than a longer one (weights of the past 0.2 and 0.6, both 0.5 before). Test: a pause with four replies.

--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -13,8 +13,11 @@
 // about as many service times, and only its own service time counts for the slowdown of the target and the mean of the route.
 const (
 	// queueHalfLife is several times the interval between two replies of a busy target to one of the processes that use it.
-	queueHalfLife  = 800 * time.Millisecond
-	queueTimeDecay = 0.5 // weight of the past in the queue time of a target
+	queueHalfLife = 800 * time.Millisecond
+	// A reply that has met a shorter queue counts more than one that has met a longer one: several replies that were held up by a
+	// pause of the target look like a queue, but the next one doesn't.
+	queueRiseDecay = 0.6 // weight of the past in the queue time of a target, if it rises
+	queueFallDecay = 0.2 // if it falls
 )
 
 // Estimate is the predicted time of a send.
@@ -36,7 +39,11 @@
 
 // recordQueueTime records for how long the send of the last reply has queued, in seconds.
 func (s *targetState) recordQueueTime(seconds float64) {
-	s.queueTime = queueTimeDecay*s.queueTime + (1-queueTimeDecay)*seconds
+	decay := queueRiseDecay
+	if seconds < s.queueTime {
+		decay = queueFallDecay
+	}
+	s.queueTime = decay*s.queueTime + (1-decay)*seconds
 	s.queueTimeAt = s.lastReply
 }
 
--- a/internal/place/queue_test.go
+++ b/internal/place/queue_test.go
@@ -28,3 +28,22 @@
 	_, estimate, _ = b.Pick(now.Add(5*queueHalfLife), rnd, "r", list, nil)
 	assert.Assert(t, estimate.Queue < ms(3), "%s", estimate.Queue)
 }
+
+// Guards against a pause of a target that is taken for a queue: several replies are late together, and the next one isn't.
+func TestPauseIsNoQueue(t *testing.T) {
+	b := New(Config{DataCentre: "here"})
+	rnd := rand.New(rand.NewPCG(1, 2))
+	list := targets(1)
+	recordAnswers(b, at(0), "t0", 50, ms(10))
+	for range 4 {
+		b.RecordSend(at(0), "t0")
+	}
+	for range 4 {
+		b.RecordEnd(at(200), "t0", "r", SendResult{Outcome: Answered, Latency: ms(200), Load: &Load{Running: 2, Waiting: 2, Slots: 2}})
+	}
+	b.RecordSend(at(210), "t0")
+	b.RecordEnd(at(220), "t0", "r", SendResult{Outcome: Answered, Latency: ms(10), Load: &Load{Running: 1, Slots: 2}})
+	_, estimate, ok := b.Pick(at(220), rnd, "r", list, nil)
+	assert.Assert(t, ok)
+	assert.Assert(t, estimate.Queue < estimate.Time/2, "%s of %s", estimate.Queue, estimate.Time)
+}
