--- a/internal/entry/stagger.go
+++ b/internal/entry/stagger.go
@@ -36,10 +36,11 @@
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
 	go s.run(ctx)
-	for sent, failed := 1, 0; ; {
+	for sent, ended := 1, 0; ; {
 		select {
 		case r := <-s.results:
-			if failed++; r.err == nil || failed == sent {
+			ended++
+			if r.err == nil || ended == sent {
 				return r.value, r.err
 			}
 		case <-ticker.C:
