entry, quota: rate limits that targets name are logged and counted

A limit is one decimal number; anything else gets a log line and is no limit. If it isn't known which of two replies is newer, the lower limit holds.

--- a/internal/cmds/forward.go
+++ b/internal/cmds/forward.go
@@ -145,7 +145,7 @@
 // writeMetrics is the handler of the metrics listener. It answers with the counters and histograms as JSON.
 func (f *forwarder) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	err := json.NewEncoder(w).Encode(map[string]any{"requests": f.entry.Snapshot(), "crashes": f.entry.CrashTotals(), "log_lines_dropped": f.droppedLines(), "faults": f.entry.RecoveredPanics()})
+	err := json.NewEncoder(w).Encode(map[string]any{"requests": f.entry.Snapshot(), "crashes": f.entry.CrashTotals(), "rate_limits": f.entry.RateLimits(), "log_lines_dropped": f.droppedLines(), "faults": f.entry.RecoveredPanics()})
 	if err != nil {
 		f.log.Every("metrics", time.Second).Warn("cannot write metrics", "error", err)
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -54,6 +55,8 @@
 	startedAt          time.Time
 	lastCleanup        time.Time
 	lastReport         time.Time
+	lastLimitReport    time.Time
+	reportedSends      map[string]uint64 // sends to targets with a rate limit as of lastLimitReport, by target ID
 	compressionCache   compressionCache
 	overloadDetector   subset.OverloadDetector
 	retryReserve       subset.ReserveShare // divides the fleet's reserve of retries
@@ -162,6 +165,7 @@
 	c.sendCrashes(now)
 	c.answerSyncs(now)
 	c.startProbes(now)
+	c.reportLimits(now)
 	if now.Sub(c.lastReport) >= reportInterval {
 		c.lastReport = now
 		c.entry.Log.Info("traffic", "peers", c.entry.hub.Traffic(), "store_reads", c.follower.platformReads.Load(), "links_opened", c.entry.hub.LinksOpened(),
@@ -183,6 +187,8 @@
 	defer e.mu.Unlock()
 	e.balancer.Prune(now, view.HasTarget)
 	e.predictor.Prune(view.HasTarget)
+	e.limits.Prune(view.HasTarget)
+	maps.DeleteFunc(e.limitedSends, func(id string, _ uint64) bool { return !view.HasTarget(id) })
 	e.delayEstimator.Prune(view.HasRoute)
 	e.detector.Sweep(now)
 }
@@ -422,6 +428,7 @@
 		if known && !old.Started.Equal(t.Started) { // the target has restarted
 			e.mu.Lock()
 			e.predictor.Forget(t.ID)
+			e.limits.Forget(t.ID)
 			e.balancer.Reset(t.ID)
 			e.mu.Unlock()
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,7 @@
 	"github.com/fuchsiarelay/fuchsiarelay/internal/place"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/quota"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/roster"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/stats"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
@@ -72,6 +73,7 @@
 	Instance       string // ID of the target that replies
 	Warmup         string // milliseconds for which a target stays cold; in replies to health checks
 	Leaving        string // "1" in the replies of a target that is leaving
+	RateLimit      string // requests per second that a target takes from the whole fleet; in canonical form
 	PartDigests    string // digests of the merged parts of an answer
 	MissingParts   string // number of parts that an answer lacks
 }
@@ -166,6 +168,8 @@
 	delayEstimator *delay.Estimator
 	detector       *poison.Detector
 	runningSends   map[uint64]int // sends that have not ended, by fingerprint
+	limits         quota.Limits
+	limitedSends   map[string]uint64 // sends to targets with a rate limit, by target ID
 	random         *rand.Rand
 
 	incarnation uint64                 // start time of this process, in Unix milliseconds
@@ -279,6 +283,7 @@
 		e.delayEstimator = delay.New()
 		e.detector = e.newDetector()
 		e.runningSends = map[uint64]int{}
+		e.limitedSends = map[string]uint64{}
 		e.budget = budget.New(budget.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
 		e.view.Store(table.New().View())
 		e.shares.Store(newShares(1, false, e.callerAddr(), nil, e.view.Load()))
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -103,6 +103,7 @@
 			a.Send.VerifyNew = r.entry.balancer.ResetsNewConns(a.Send.Target.ID)
 			a.Send.Unassigned = r.entry.balancer.Availability(now, a.Send.Target) == place.Unassigned
 			r.entry.balancer.RecordSend(now, a.Send.Target.ID)
+			r.entry.countLimitedSend(a.Send.Target.ID)
 			a.Send.Fingerprints = r.call.fingerprints(a.Send.Service)
 			r.entry.addRunning(a.Send.Fingerprints)
 		}
@@ -176,6 +177,9 @@
 	retryAfter := e.retryAfter(s.Target.ID, reply)
 	if outcome != place.Replaced {
 		e.handleLeavingHeader(s.Target, reply.Header)
+		if err == nil {
+			e.recordRateLimit(s.Target, began, reply.Header)
+		}
 	}
 	pause, isNew := a.recordOutcome(began, took, outcome, retryAfter, reply, err)
 	if isConnectionLost(err) {
