entry, quota, place, fanout: a target gets no more requests than the rate limit that it names

Cause: a limit of a target holds for the fleet, and every process decided alone.

Change: one process is the allocator of each target and issues permits at the rate of the limit; each permit lasts 0.7 s, which bounds the requests of any 4 s to 4.95 s of the limit whatever the number of processes. A new allocator waits until the permits of its predecessor have expired; while an allocator is silent, all processes together use 0.4 of the limit. A request whose targets are all without permits asks for them before its first send, waits 20 ms at most, and is refused with Retry-After.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -15,6 +15,7 @@
 	"github.com/fuchsiarelay/fuchsiarelay/internal/peer"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/poison"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/pool"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/quota"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/roster"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/subset"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
@@ -56,6 +57,7 @@
 	lastCleanup        time.Time
 	lastReport         time.Time
 	lastLimitReport    time.Time
+	permitPools        *quota.Pools      // permits for the targets whose allocator this process is
 	reportedSends      map[string]uint64 // sends to targets with a rate limit as of lastLimitReport, by target ID
 	compressionCache   compressionCache
 	overloadDetector   subset.OverloadDetector
@@ -100,7 +102,8 @@
 		entry: e, startedAt: now, compressionCache: compressionCache{}, pauseLimiter: newPauseLimiter(),
 		events: make(chan func(*control, time.Time), eventQueueLen), loopDone: make(chan struct{}),
 		table: table.New(), documents: docset.New(docset.Config{}), retryReserve: subset.ReserveShare{Window: roster.DefaultShrinkDelay, FirstOnVM: e.FirstOnVM},
-		roster: roster.New(roster.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.PeerAddr.String(), e.incarnation, seeds, now),
+		permitPools: quota.NewPools(e.PeerAddr.String()),
+		roster:      roster.New(roster.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.PeerAddr.String(), e.incarnation, seeds, now),
 	}
 	c.follower = &follower{entry: e, control: c}
 	return c
@@ -165,6 +168,7 @@
 	c.sendCrashes(now)
 	c.answerSyncs(now)
 	c.startProbes(now)
+	c.requestPermits(now)
 	c.reportLimits(now)
 	if now.Sub(c.lastReport) >= reportInterval {
 		c.lastReport = now
@@ -187,7 +191,8 @@
 	defer e.mu.Unlock()
 	e.balancer.Prune(now, view.HasTarget)
 	e.predictor.Prune(view.HasTarget)
-	e.limits.Prune(view.HasTarget)
+	e.permits.Prune(view.HasTarget)
+	c.permitPools.Prune(now)
 	maps.DeleteFunc(e.limitedSends, func(id string, _ uint64) bool { return !view.HasTarget(id) })
 	e.delayEstimator.Prune(view.HasRoute)
 	e.detector.Sweep(now)
@@ -230,7 +235,9 @@
 	e.mu.Lock()
 	e.budget.SetShare(share)
 	e.balancer.SetProbers(size)
+	e.permits.SetShare(1 / float64(size))
 	e.mu.Unlock()
+	c.updateAllocators(now)
 	if old.fleetSize != next.fleetSize || old.recentStart != next.recentStart || old.view != view || !slices.Equal(old.chosen, next.chosen) {
 		previous := *old
 		previous.previous = nil
@@ -272,11 +279,12 @@
 	}
 }
 
-// updateLinks keeps links to the peers that the roster view selects, to other chosen processes, and to the reader that this
-// process follows.
+// updateLinks keeps links to the peers that the roster view selects, to other chosen processes, to the allocators of targets with
+// a rate limit, and to the reader that this process follows.
 func (c *control) updateLinks(now time.Time) {
 	e := c.entry
 	peers := append(c.roster.Peers(now), c.chosenPeers()...)
+	peers = append(peers, c.allocatorPeers()...)
 	if reader := c.readerToFollow(); reader != "" {
 		peers = append(peers, reader)
 	}
@@ -428,7 +436,7 @@
 		if known && !old.Started.Equal(t.Started) { // the target has restarted
 			e.mu.Lock()
 			e.predictor.Forget(t.ID)
-			e.limits.Forget(t.ID)
+			e.permits.Forget(t.ID)
 			e.balancer.Reset(t.ID)
 			e.mu.Unlock()
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,7 +168,8 @@
 	delayEstimator *delay.Estimator
 	detector       *poison.Detector
 	runningSends   map[uint64]int // sends that have not ended, by fingerprint
-	limits         quota.Limits
+	permits        *quota.Client
+	permitsArrived chan struct{}     // closed and replaced when permits arrive
 	limitedSends   map[string]uint64 // sends to targets with a rate limit, by target ID
 	random         *rand.Rand
 
@@ -284,12 +285,15 @@
 		e.detector = e.newDetector()
 		e.runningSends = map[uint64]int{}
 		e.limitedSends = map[string]uint64{}
+		e.permits = quota.NewClient()
+		e.permitsArrived = make(chan struct{})
 		e.budget = budget.New(budget.Config{Ratio: e.Bounds.RetryRatio, Reserve: e.Bounds.RetryReserve, Window: e.Bounds.RetryWindow})
 		e.view.Store(table.New().View())
 		e.shares.Store(newShares(1, false, e.callerAddr(), nil, e.view.Load()))
 		e.directory.Store(&directory{})
 		e.balancer.SetSendLimit(func(t *table.Target) int { return e.shares.Load().connections(t) })
 		e.balancer.SetColdLimit(e.coldLimit)
+		e.balancer.SetRateLimiter(e.permits)
 	})
 }
 
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -18,7 +18,7 @@
 		e.Log.Every("rate limit "+t.ID, time.Minute).Warn("cannot use the rate limit of a target", "target", t.ID, "error", err)
 	}
 	e.mu.Lock()
-	changed := e.limits.Record(t.ID, quota.Statement{Sent: sent, Received: time.Now(), Named: named, Limit: limit})
+	changed := e.permits.RecordReply(t.ID, quota.Statement{Sent: sent, Received: time.Now(), Named: named, Limit: limit})
 	e.mu.Unlock()
 	if changed {
 		e.Log.Every("limit "+t.ID, time.Second).Info("rate limit of a target changed", "target", t.ID, "service", t.Service, "named", named, "limit", limit)
@@ -39,7 +39,7 @@
 	defer e.mu.Unlock()
 	var out []TargetLimit
 	for id, n := range e.limitedSends {
-		if limit, ok := e.limits.Limit(id); ok {
+		if limit, ok := e.permits.Limit(id); ok {
 			out = append(out, TargetLimit{Target: id, Limit: limit, Sends: n})
 		}
 	}
@@ -48,7 +48,7 @@
 
 // countLimitedSend counts a send to a target with a rate limit. The calling code holds mu.
 func (e *Entry) countLimitedSend(target string) {
-	if _, ok := e.limits.Limit(target); ok {
+	if _, ok := e.permits.Limit(target); ok {
 		e.limitedSends[target]++
 	}
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -36,6 +36,7 @@
 	entry       *Entry
 	call        *call
 	plan        *fanout.Plan
+	services    []string // one for each part
 	results     chan attemptResult
 	replies     map[int]*pool.Reply // by attempt ID
 	seenDigests map[string]bool     // digests of the parts that have been answered
@@ -53,7 +54,7 @@
 }
 
 func newRunner(e *Entry, c *call, services []string) *runner {
-	r := &runner{entry: e, call: c, replies: map[int]*pool.Reply{}, seenDigests: map[string]bool{}}
+	r := &runner{entry: e, call: c, services: services, replies: map[int]*pool.Reply{}, seenDigests: map[string]bool{}}
 	r.plan = fanout.New(fanout.Config{}, c.route, services, (*picker)(r), c.began, c.caller)
 	r.results = make(chan attemptResult, len(services)*resultsPerPart)
 	r.sendsCtx, r.cancel = context.WithDeadline(context.Background(), r.plan.Deadline())
@@ -65,6 +66,7 @@
 	var res result
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	r.awaitPermits(ctx)
 	finish := r.startSends(r.runStep(func(now time.Time) []fanout.Action { return r.plan.Start(now) }))
 	for finish == nil {
 		timer.Reset(max(time.Until(r.wakeAt), 0))
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -44,6 +44,9 @@
 // shard are in backoff, its part waits if the first of them is usable again soon, and is given up otherwise. If the request
 // can't succeed without these parts, it is refused at once, with the time at which the targets are usable again.
 //
+// Rate limits: a part whose targets all have a rate limit, and none of which may get another request now, is given up at once. If
+// the request can't do without it, the request is refused before anything is sent, with the time at which it can be served.
+//
 // Crashing requests: a request during which targets have crashed, and which has succeeded nowhere since, is sent to one
 // target at a time, so that the next crash has only one possible cause and takes down only one target. Meanwhile its other
 // parts and other copies of the request wait. After one more crash the request is in quarantine, and is refused before
@@ -137,6 +140,7 @@
 	ReasonQuarantined        Reason = "targets_ended_under_it"
 	ReasonWaitsForSuspect    Reason = "waits_for_another_send_of_a_suspect_request"
 	ReasonTargetsInBackoff   Reason = "targets_asked_to_be_left_alone"
+	ReasonRateLimited        Reason = "targets_at_their_rate_limit"
 	ReasonTooManyPartsLost   Reason = "too_many_parts_lost"
 	ReasonTooFewParts        Reason = "too_few_parts_answered"
 )
@@ -190,8 +194,8 @@
 // Picker chooses targets and accounts for the retry budget.
 type Picker interface {
 	// Pick returns a target of the service whose ID isn't in tried, and the predicted time of an attempt there. If no target
-	// is usable now, Pick returns nil and the reason; for place.InBackoff, Estimate.Time is then the time until a target is
-	// usable again.
+	// is usable now, Pick returns nil and the reason; for place.InBackoff and place.RateLimited, Estimate.Time is then the time
+	// until a target is usable again.
 	Pick(now time.Time, service string, tried []string) (*table.Target, place.Estimate, place.Availability)
 	// TakeRetry takes one more attempt at the service from the retry budget, and returns false if none is left. If failed is
 	// true, the attempt replaces a failed one; otherwise it is a hedge.
@@ -237,7 +241,7 @@
 	waiting          bool      // the part has no open attempt and looks for a target at each Tick
 	reason           Reason    // why the part is given up or waits
 	suspectWaitStart time.Time // since when the part waits for another attempt of a suspect request; zero: not waiting for one
-	retryAt          time.Time // when a target in backoff is usable again, or the quarantine ends
+	retryAt          time.Time // when a target in backoff or at its rate limit is usable again, or the quarantine ends
 	lastFailure      Reason    // how the latest attempt without success ended
 }
 
@@ -457,6 +461,9 @@
 		if part.waiting = usableIn <= p.maxHedgeDelay; !part.waiting {
 			p.giveUp(part, ReasonTargetsInBackoff)
 		}
+	case availability == place.RateLimited:
+		part.retryAt = now.Add(usableIn)
+		p.giveUp(part, ReasonRateLimited)
 	case part.lastFailure == ReasonNotRun:
 		// All targets have refused the part.
 		p.giveUp(part, ReasonBusy)
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -78,7 +78,7 @@
 	}
 	f := &Finish{Code: codes.NoTarget, Reason: reason, MissingCount: len(p.parts), RetryAfter: p.cfg.DownRetryAfter}
 	for i := range p.parts {
-		if part := &p.parts[i]; !part.hasReply && (part.reason == ReasonBusy || part.reason == ReasonTargetsInBackoff || part.reason == ReasonWaitsForSuspect) {
+		if part := &p.parts[i]; !part.hasReply && (part.reason == ReasonBusy || part.reason == ReasonTargetsInBackoff || part.reason == ReasonRateLimited || part.reason == ReasonWaitsForSuspect) {
 			f.Code, f.RetryAfter = codes.Overloaded, p.cfg.BusyRetryAfter
 		}
 	}
@@ -88,7 +88,7 @@
 		if part.givenUp && part.reason == ReasonQuarantined {
 			f.Code, f.Reason = codes.Quarantined, ReasonQuarantined
 		}
-		if part.givenUp && (part.reason == ReasonTargetsInBackoff || part.reason == ReasonQuarantined) {
+		if part.givenUp && (part.reason == ReasonTargetsInBackoff || part.reason == ReasonRateLimited || part.reason == ReasonQuarantined) {
 			f.RetryAfter = max(f.RetryAfter, part.retryAt.Sub(p.now))
 		}
 	}
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -60,6 +60,10 @@
 	Pauses(from string, p Pauses)
 	// Departures receives the targets that have announced in their own replies that they are leaving.
 	Departures(from string, d Departures)
+	// PermitRequests receives the requests of a peer for permits.
+	PermitRequests(from string, m PermitRequests)
+	// PermitGrants receives the answer to permit requests.
+	PermitGrants(from string, m PermitGrants)
 	// Unlink is called when a peer announces that it closes its link to this process on purpose.
 	Unlink(from string)
 	// LinkOpened is called when a link to or from a peer has opened.
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -151,6 +151,10 @@
 		h.Pauses(in.peerID, *f.Pauses)
 	case f.Unlink != nil:
 		h.Unlink(in.peerID)
+	case f.PermitRequests != nil:
+		h.PermitRequests(in.peerID, *f.PermitRequests)
+	case f.PermitGrants != nil:
+		h.PermitGrants(in.peerID, *f.PermitGrants)
 	case f.Departures != nil:
 		h.Departures(in.peerID, *f.Departures)
 	case f.Sync != nil:
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -280,6 +280,10 @@
 			s.link.hub.cfg.Handler.Membership(s.link.peerID, *f.Membership)
 		case f.Pauses != nil:
 			s.link.hub.cfg.Handler.Pauses(s.link.peerID, *f.Pauses)
+		case f.PermitRequests != nil:
+			s.link.hub.cfg.Handler.PermitRequests(s.link.peerID, *f.PermitRequests)
+		case f.PermitGrants != nil:
+			s.link.hub.cfg.Handler.PermitGrants(s.link.peerID, *f.PermitGrants)
 		case f.Departures != nil:
 			s.link.hub.cfg.Handler.Departures(s.link.peerID, *f.Departures)
 		case f.SyncReply != nil:
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -95,6 +95,34 @@
 	StartedMS int64
 }
 
+// PermitRequests asks the allocator of some targets for permits to send requests to them; see package quota.
+type PermitRequests struct {
+	Requests []PermitRequest `cbor:"requests"`
+}
+
+// PermitRequest asks for permits of one target. Rates are in requests per 1,000 s.
+type PermitRequest struct {
+	_      struct{} `cbor:",toarray"`
+	Target string
+	Limit  uint64 // of the target
+	Demand uint64 // of the sender
+	Wanted int
+}
+
+// PermitGrants answers PermitRequests.
+type PermitGrants struct {
+	Grants []PermitGrant `cbor:"grants"`
+}
+
+// PermitGrant issues permits of one target. Ready is false if the sender isn't the allocator of the target.
+type PermitGrant struct {
+	_       struct{} `cbor:",toarray"`
+	Target  string
+	Permits int
+	WaitMS  int64 // time until more permits can be expected
+	Ready   bool
+}
+
 // Unlink announces that the sender closes its link on purpose, so that silence on the link is no sign of a failure.
 type Unlink struct{}
 
@@ -238,6 +266,8 @@
 	Membership      *Membership      `cbor:"crew,omitempty"`
 	Pauses          *Pauses          `cbor:"pauses,omitempty"`
 	Departures      *Departures      `cbor:"departures,omitempty"`
+	PermitRequests  *PermitRequests  `cbor:"permit_requests,omitempty"`
+	PermitGrants    *PermitGrants    `cbor:"permit_grants,omitempty"`
 	Unlink          *Unlink          `cbor:"unlink,omitempty"`
 	Sync            *SyncRequest     `cbor:"sync,omitempty"`
 	SyncReply       *SyncReply       `cbor:"sync_reply,omitempty"`
--- a/internal/peer/nop.go
+++ b/internal/peer/nop.go
@@ -60,6 +60,12 @@
 // Departures implements Handler.
 func (NopHandler) Departures(string, Departures) {}
 
+// PermitRequests implements Handler.
+func (NopHandler) PermitRequests(string, PermitRequests) {}
+
+// PermitGrants implements Handler.
+func (NopHandler) PermitGrants(string, PermitGrants) {}
+
 // Unlink implements Handler.
 func (NopHandler) Unlink(string) {}
 
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -13,11 +13,12 @@
 	kindSync
 	kindWork
 	kindCrash
+	kindPermits
 	numKinds
 )
 
 // kindNames holds the name of each kind, which is its key in Traffic.
-var kindNames = [numKinds]string{"other", "ping", "crew", "pauses", "sync", "work", "crash"}
+var kindNames = [numKinds]string{"other", "ping", "crew", "pauses", "sync", "work", "crash", "permits"}
 
 // frameKind returns the kind under which the frame is counted.
 func frameKind(f Frame) int {
@@ -34,6 +35,8 @@
 		return kindWork
 	case f.Crash != nil || f.Success != nil || f.CrashRetraction != nil || f.Quarantine != nil:
 		return kindCrash
+	case f.PermitRequests != nil || f.PermitGrants != nil:
+		return kindPermits
 	}
 	return kindOther
 }
@@ -44,7 +47,7 @@
 }
 
 // Traffic holds the number of frames and bytes that a hub has written, by kind of frame: crew (membership
-// statements), ping, pauses, sync, work, crash or other.
+// statements), ping, pauses, sync, work, crash, permits or other.
 type Traffic map[string]struct{ Frames, Bytes uint64 }
 
 // Traffic returns the totals since the hub was created.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -37,6 +37,8 @@
 // Targets at their connection bound: new connections are opened one at a time, and not for a while after the target has reset
 // one; see dial.go.
 //
+// Targets with a rate limit: a RateLimiter decides when this process may send to them, and learns how often it would.
+//
 // Targets in backoff: a target that has stated when it will be available again gets nothing before that time, not even a
 // query of its health page.
 package place
@@ -44,6 +46,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -198,10 +201,34 @@
 	routes      map[string]*routeTimes
 	sendLimit   func(t *table.Target) int // see SetSendLimit
 	coldLimit   func(t *table.Target) int // see SetColdLimit
+	rateLimiter RateLimiter               // see SetRateLimiter
 	probeFactor float64                   // factor of the times between probes
 	changes     []Change                  // changes since the last call of Changes
 }
 
+// RateLimiter decides which targets with a rate limit this process may send to.
+type RateLimiter interface {
+	// Blocked reports whether nothing may be sent to the target now.
+	Blocked(now time.Time, target string) bool
+	// RecordDenied records that a send to the blocked target would have had the lowest cost.
+	RecordDenied(now time.Time, target string)
+	// RecordSend records a send to the target.
+	RecordSend(now time.Time, target string)
+	// Wait returns the time until something may be sent to the blocked target again.
+	Wait(now time.Time, target string) time.Duration
+}
+
+// noRateLimits is a RateLimiter without limits.
+type noRateLimits struct{}
+
+func (noRateLimits) Blocked(time.Time, string) bool       { return false }
+func (noRateLimits) RecordDenied(time.Time, string)       {}
+func (noRateLimits) RecordSend(time.Time, string)         {}
+func (noRateLimits) Wait(time.Time, string) time.Duration { return 0 }
+
+// SetRateLimiter sets the rate limits of targets.
+func (b *Balancer) SetRateLimiter(l RateLimiter) { b.rateLimiter = l }
+
 // Change records that a target went down or is back.
 type Change struct {
 	Target      string
@@ -240,7 +267,7 @@
 	cfg.RepetitionCost = cmp.Or(cfg.RepetitionCost, DefaultRepetitionCost)
 	cfg.ProbeInterval = cmp.Or(cfg.ProbeInterval, DefaultProbeInterval)
 	cfg.MaxProbeDelay = cmp.Or(cfg.MaxProbeDelay, DefaultMaxProbeDelay)
-	return &Balancer{cfg: cfg, targets: map[string]*targetState{}, routes: map[string]*routeTimes{}, probeFactor: 1}
+	return &Balancer{cfg: cfg, targets: map[string]*targetState{}, routes: map[string]*routeTimes{}, probeFactor: 1, rateLimiter: noRateLimits{}}
 }
 
 // SetSendLimit sets the function that returns how many sends of this process may be in flight to a target. In a fleet with
@@ -296,11 +323,12 @@
 
 // The values of Availability.
 const (
-	Usable     Availability = iota
-	Busy                    // this process has reached its limit of sends in flight, or of sends to a cold target
-	Down                    // out of rotation until its health page answers
-	Unassigned              // assigned to other processes, but can be picked
-	InBackoff               // the target has asked for no requests until a later time
+	Usable      Availability = iota
+	Busy                     // this process has reached its limit of sends in flight, or of sends to a cold target
+	Down                     // out of rotation until its health page answers
+	Unassigned               // assigned to other processes, but can be picked
+	InBackoff                // the target has asked for no requests until a later time
+	RateLimited              // the target has named a rate limit, and this process has no permit to send to it now
 )
 
 // Availability returns whether a target can be picked now, and if not, why.
@@ -317,6 +345,8 @@
 		return Down
 	case s != nil && b.coldLimitReached(now, t, s):
 		return Busy
+	case b.rateLimiter.Blocked(now, t.ID):
+		return RateLimited
 	case !b.hasIdle(t.ID) && !b.mayDial(now, t.ID):
 		return Busy
 	case b.sendLimit == nil:
@@ -332,8 +362,16 @@
 	return Usable
 }
 
+// AnyUsable reports whether one of the targets can be picked now.
+func (b *Balancer) AnyUsable(now time.Time, targets []*table.Target) bool {
+	return slices.ContainsFunc(targets, func(t *table.Target) bool {
+		availability := b.Availability(now, t)
+		return availability == Usable || availability == Unassigned
+	})
+}
+
 // UnavailableReason returns the reason why no target other than the tried ones can be picked: Busy if a target may become
-// free soon, else InBackoff with the time until the first target accepts requests again, else Down.
+// free soon, else InBackoff or RateLimited with the time until the first target accepts requests again, else Down.
 func (b *Balancer) UnavailableReason(now time.Time, targets []*table.Target, tried []string) (Availability, time.Duration) {
 	availability, wait := Down, time.Duration(0)
 	for _, t := range targets {
@@ -344,9 +382,13 @@
 		case Busy:
 			return Busy, 0
 		case InBackoff:
-			if backoff := b.Backoff(now, t.ID); availability != InBackoff || backoff < wait {
+			if backoff := b.Backoff(now, t.ID); availability == Down || backoff < wait {
 				availability, wait = InBackoff, backoff
 			}
+		case RateLimited:
+			if limited := b.rateLimiter.Wait(now, t.ID); availability == Down || limited < wait {
+				availability, wait = RateLimited, limited
+			}
 		}
 	}
 	return availability, wait
@@ -355,17 +397,43 @@
 // Pick returns the target with the lowest cost, and the predicted time of a send to it. It leaves out the tried targets and
 // those that can't be picked now. If no target remains, Pick falls back to a target that is down only because sends got no
 // reply, and that has replied recently: it may be slow because it does the work of the others.
-func (b *Balancer) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (*table.Target, Estimate, bool) {
+func (b *Balancer) Pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string) (best *table.Target, estimate Estimate, ok bool) {
+	var blocked []*table.Target
 	usable := func(t *table.Target) bool {
 		availability := b.Availability(now, t)
+		if availability == RateLimited {
+			blocked = append(blocked, t)
+		}
 		return availability == Usable || availability == Unassigned
 	}
+	defer func() { b.recordDenied(now, route, blocked, best) }()
 	if t, estimate, ok := b.pick(now, rnd, route, targets, tried, usable); ok {
 		return t, estimate, true
 	}
 	return b.pick(now, rnd, route, targets, tried, func(t *table.Target) bool { return b.Availability(now, t) == Down && b.isLastResort(now, t) })
 }
 
+// recordDenied tells the rate limiter if one of the blocked targets would have had a lower cost than the one that was picked; nil
+// if none was.
+func (b *Balancer) recordDenied(now time.Time, route string, blocked []*table.Target, picked *table.Target) {
+	if len(blocked) == 0 {
+		return
+	}
+	times := b.timesOf(route)
+	best, lowestCost := "", math.Inf(1)
+	if picked != nil {
+		lowestCost = b.predict(now, times, picked).cost
+	}
+	for _, t := range blocked {
+		if p := b.predict(now, times, t); p.cost < lowestCost {
+			best, lowestCost = t.ID, p.cost
+		}
+	}
+	if best != "" {
+		b.rateLimiter.RecordDenied(now, best)
+	}
+}
+
 // pick returns the target with the lowest cost, and the predicted time of a send to it, among the targets that are allowed and
 // not tried.
 func (b *Balancer) pick(now time.Time, rnd *rand.Rand, route string, targets []*table.Target, tried []string, isAllowed func(t *table.Target) bool) (best *table.Target, estimate Estimate, ok bool) {
@@ -464,6 +532,7 @@
 
 // RecordSend records the start of a send to a target.
 func (b *Balancer) RecordSend(now time.Time, id string) {
+	b.rateLimiter.RecordSend(now, id)
 	s := b.stateOf(id)
 	s.inFlight = append(s.inFlight, now)
 	if now.Before(s.coldUntil) {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -406,6 +406,12 @@
 // is leaving.
 func (p *peerEvents) Departures(string, peer.Departures) {}
 
+// PermitRequests implements peer.Handler.
+func (p *peerEvents) PermitRequests(string, peer.PermitRequests) {}
+
+// PermitGrants implements peer.Handler.
+func (p *peerEvents) PermitGrants(string, peer.PermitGrants) {}
+
 // LinkOpened implements peer.Handler. It does nothing: TargetChanged reads Hub.LinksOpened instead.
 func (p *peerEvents) LinkOpened(string) {}
 
