quota: permits that nobody uses are no longer lost at low rates

Cause: found by a simulated fleet of 1 to 295 processes with demand that differs by more than ten times.

Change: permits are requested in advance only if they will be used with a probability of 0.9, else for the request that needs one; an allocator keeps 0.5 s of the limit and two permits, and states no wait beyond the time at which these are complete. Any 4 s are bounded by 5.2 s of the limit and two requests.

--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -154,7 +154,7 @@
 			switch {
 			case !e.permits.Blocked(now, t.ID):
 			case e.permits.CanAsk(now, t.ID):
-				due = append(due, e.permits.RequestOne(now, t.ID))
+				due = append(due, e.permits.RequestNow(now, t.ID))
 				waiting = true
 			case e.permits.IsWaiting(now, t.ID):
 				waiting = true
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -160,22 +160,25 @@
 func (c *Client) DueRequests(now time.Time) (out []Request) {
 	for _, id := range c.Targets() {
 		t := c.targets[id]
-		demand := t.demand.perSecond(now)
-		// A permit that will probably expire unused is not worth a request.
-		if demand*PermitLifetime.Seconds() < 0.5 || !c.CanAsk(now, id) {
-			continue
-		}
-		if wanted := int(math.Ceil(demand*prefetchTime.Seconds())) - t.held(now); wanted > 0 {
+		if wanted := t.expectedSends(now) - t.held(now); wanted > 0 && c.CanAsk(now, id) {
 			out = append(out, c.request(now, id, wanted))
 		}
 	}
 	return out
 }
 
-// RequestOne returns a request for one permit of a target, for a request that waits for it.
-func (c *Client) RequestOne(now time.Time, target string) Request {
-	c.RecordDenied(now, target)
-	return c.request(now, target, 1)
+// expectedSends returns for how many sends permits are requested in advance: none if a permit would probably expire unused.
+func (t *clientTarget) expectedSends(now time.Time) int {
+	demand := t.demand.perSecond(now)
+	if 1-math.Exp(-demand*PermitLifetime.Seconds()) < minUseChance {
+		return 0
+	}
+	return int(math.Ceil(demand * prefetchTime.Seconds()))
+}
+
+// RequestNow returns a request for permits of a target, for a request that waits for one.
+func (c *Client) RequestNow(now time.Time, target string) Request {
+	return c.request(now, target, max(c.targets[target].expectedSends(now), 1))
 }
 
 // request returns a request for permits and records that it is unanswered.
@@ -186,7 +189,7 @@
 	}
 	t.askedAt = now
 	limit, _ := c.limits.Limit(target)
-	return Request{Target: target, Limit: limit, Demand: t.demand.perSecond(now), Wanted: min(wanted, maxWantedPerAsk)}
+	return Request{Target: target, Limit: limit, Demand: max(t.demand.perSecond(now), minDemand), Wanted: min(wanted, maxWantedPerAsk)}
 }
 
 // RecordGrant records the answer to a request for permits.
@@ -195,7 +198,10 @@
 	if t == nil {
 		return // the limit is over
 	}
-	t.nextAsk = now.Add(min(max(g.Wait, minAskInterval), maxWait))
+	t.nextAsk = now
+	if g.Wait > 0 {
+		t.nextAsk = now.Add(min(max(g.Wait, minWait), maxWait))
+	}
 	if !g.Ready {
 		return
 	}
--- a/internal/quota/pools.go
+++ b/internal/quota/pools.go
@@ -24,30 +24,41 @@
 	return best
 }
 
-// Allocators returns the processes that are the allocators of the targets: at most maxAllocators of the given ones.
+// Allocators returns the processes that are the allocators of the targets: at most maxAllocators of the given ones, which must be
+// in the same order at all processes.
 func Allocators(processes []string) []string {
 	if len(processes) <= maxAllocators {
 		return processes
 	}
-	sorted := slices.Clone(processes)
-	slices.SortFunc(sorted, func(a, b string) int {
-		x, y := xxhash.Sum64String("allocator|"+a), xxhash.Sum64String("allocator|"+b)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
+	type ranked struct {
+		id   string
+		hash uint64
+	}
+	best := make([]ranked, 0, maxAllocators+1) // in order of hash
+	for _, id := range processes {
+		r := ranked{id, xxhash.Sum64String("allocator|" + id)}
+		i := len(best)
+		for i > 0 && r.hash < best[i-1].hash {
+			i--
+		}
+		if i < maxAllocators {
+			best = slices.Insert(best, i, r)
+			best = best[:min(len(best), maxAllocators)]
 		}
-		return 0
-	})
-	return sorted[:maxAllocators]
+	}
+	ids := make([]string, len(best))
+	for i, r := range best {
+		ids[i] = r.id
+	}
+	return ids
 }
 
 // Pools issues the permits for the targets whose allocator this process is. Use NewPools. It is not safe for concurrent use.
 type Pools struct {
-	self    string
-	history []allocatorChange // the first one was in force TakeoverDelay ago, or is the first of all
-	pools   map[string]*pool  // by target ID
+	self      string
+	processes []string          // as of the last call of SetProcesses
+	history   []allocatorChange // the first one was in force TakeoverDelay ago, or is the first of all
+	pools     map[string]*pool  // by target ID
 }
 
 // allocatorChange is a change of the processes among which the allocators are chosen.
@@ -76,10 +87,12 @@
 
 // SetProcesses sets the processes among which the allocators are chosen.
 func (p *Pools) SetProcesses(now time.Time, processes []string) {
-	allocators := slices.Clone(Allocators(processes))
-	slices.Sort(allocators)
-	if n := len(p.history); n == 0 || !slices.Equal(p.history[n-1].allocators, allocators) {
-		p.history = append(p.history, allocatorChange{now, allocators})
+	if len(p.history) == 0 || !slices.Equal(p.processes, processes) {
+		p.processes = slices.Clone(processes)
+		allocators := slices.Sorted(slices.Values(Allocators(processes)))
+		if n := len(p.history); n == 0 || !slices.Equal(p.history[n-1].allocators, allocators) {
+			p.history = append(p.history, allocatorChange{now, allocators})
+		}
 	}
 	for len(p.history) > 1 && now.Sub(p.history[1].at) >= TakeoverDelay {
 		p.history = p.history[1:]
@@ -150,7 +163,7 @@
 }
 
 // maxPermits returns how many permits are kept for processes that will request them.
-func maxPermits(limit float64) float64 { return max(1, limit*burstTime.Seconds()) }
+func maxPermits(limit float64) float64 { return limit*burstTime.Seconds() + burstPermits }
 
 // issue issues up to the wanted number of permits to a process. While the demand exceeds the limit, the process gets its share
 // only, unless others leave theirs. It returns the time until more can be expected if there are fewer than wanted.
@@ -169,7 +182,8 @@
 	}
 	seconds := (1 - min(p.permits, 1)) / limit
 	if share := limit * u.demand / max(total, limit); isShared && share > 0 {
-		seconds = max(seconds, (1-min(u.credit, 1))/share)
+		untilFull := (maxPermits(limit) - p.permits) / limit
+		seconds = max(seconds, min((1-min(u.credit, 1))/share, untilFull))
 	}
 	return permits, min(time.Duration(seconds*float64(time.Second)), maxWait)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -15,8 +15,8 @@
 //
 // For each target with a limit, one process of the fleet is the allocator: all processes that know the same members agree on it.
 // It issues permits at the rate of the limit, and every process sends a request to the target only with a permit. A permit expires
-// after PermitLifetime. In any window of length w, the target thus gets at most limit x (w + PermitLifetime + burstTime)
-// requests, whatever the number of processes and however the demand is spread over them.
+// after PermitLifetime. In any window of length w, the target thus gets at most limit x (w + PermitLifetime + burstTime) +
+// burstPermits requests, whatever the number of processes and however the demand is spread over them.
 //
 // A limit holds until a newer reply of the same target names another one or none. Replies may arrive out of order.
 //
@@ -49,14 +49,18 @@
 )
 
 const (
-	burstTime       = 250 * time.Millisecond // permits that nobody has requested are kept for this long
+	// Permits that nobody has requested are kept up to burstTime x limit + burstPermits, since requests come at irregular times.
+	burstTime       = 500 * time.Millisecond
+	burstPermits    = 2
 	answerTimeout   = 250 * time.Millisecond // an allocator that takes longer counts as unreachable
 	prefetchTime    = 300 * time.Millisecond // permits are requested for the expected sends of this time
-	demandDecay     = time.Second            // time constant of the demand of a process
+	minUseChance    = 0.9                    // least probability with which a permit that is requested in advance must be used
+	demandDecay     = 2 * time.Second        // time constant of the demand of a process
 	demandLifetime  = 2 * time.Second        // an allocator forgets the demand of a process that requests nothing for this long
 	poolLifetime    = 10 * time.Second       // an allocator forgets a target for which nothing is requested for this long
 	maxWait         = time.Second            // longest time until a process may request permits again
-	minAskInterval  = 40 * time.Millisecond  // shortest time between two requests of a process for permits of one target
+	minWait         = 10 * time.Millisecond  // shortest time until a process that got fewer permits than it requested asks again
+	minDemand       = 0.2                    // requests per second that a process which asks for permits has at least
 	maxWantedPerAsk = 10_000
 )
 
