--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -211,7 +211,7 @@
 	f.in(p, simTick, func() { f.tick(p) })
 	if p.members == nil {
 		for id, runs := range p.knows {
-			if runs && !(id == p.id && p.stopping) {
+			if runs && (id != p.id || !p.stopping) {
 				p.members = append(p.members, id)
 			}
 		}
