quota: the simulated rule excuses a process while it is cut off

The check counted processes that had been cut off for more than 4 s and still were, against the stated rule: a restart, freeze or cut of a machine excuses it.

--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -31,7 +31,7 @@
 	ruleNotice  = 4 * time.Second        // from the first reply with a limit until the rule begins to count
 	ruleWindow  = 4 * time.Second        // span in which requests are counted
 	ruleTold    = 500 * time.Millisecond // a process counts from this long after its first reply with a limit
-	ruleExcused = 4 * time.Second        // a process doesn't count for this long after it was restarted, frozen or cut off
+	ruleExcused = 4 * time.Second        // a process doesn't count while it is cut off, and for this long after that, a restart or a freeze
 	ruleOverage = 1.5
 	ruleSlack   = 5
 )
@@ -293,7 +293,7 @@
 	sent := f.now
 	f.after(simOneWay, func() {
 		counts := !p.toldAt.IsZero() && f.now.Sub(p.toldAt) >= ruleTold
-		f.arrivals = append(f.arrivals, simArrival{f.now, p, counts && !f.now.Before(p.excusedUntil)})
+		f.arrivals = append(f.arrivals, simArrival{f.now, p, counts && !p.cut && !f.now.Before(p.excusedUntil)})
 		f.in(p, f.between(simServiceTime, 4*simServiceTime), func() {
 			named := !f.namedAt.IsZero()
 			p.client.RecordReply("t", Statement{Sent: sent, Received: f.now, Named: named, Limit: f.limit})
