quota, fanout, entry: Retry-After of a refusal at a rate limit is the time of a permit

Callers that came back after the stated time were refused again: the time was capped at the second after which a process asks the allocator again, all callers refused at once were told the same time, and the credit of a process grew by its demand at the next request instead of the demand that the stated time was computed from.

Change: the allocator states the time of the next permit and the rate of the process, and each refused caller is told the time of another permit.

--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -86,7 +86,7 @@
 		out := &peer.PermitGrants{}
 		for _, r := range m.Requests {
 			g := c.permitPools.Request(now, from, quota.Request{Target: r.Target, Limit: float64(r.Limit) / ratePrecision, Demand: float64(r.Demand) / ratePrecision, Wanted: r.Wanted})
-			out.Grants = append(out.Grants, peer.PermitGrant{Target: g.Target, Permits: g.Permits, WaitMS: g.Wait.Milliseconds(), Ready: g.Ready})
+			out.Grants = append(out.Grants, peer.PermitGrant{Target: g.Target, Permits: g.Permits, WaitMS: g.Wait.Milliseconds(), Rate: scaleRate(g.Rate), Ready: g.Ready})
 		}
 		c.entry.hub.SendOnAnyLink(from, peer.Frame{PermitGrants: out})
 	})
@@ -96,7 +96,7 @@
 func (p *peerHandler) PermitGrants(_ string, m peer.PermitGrants) {
 	grants := make([]quota.Grant, 0, len(m.Grants))
 	for _, g := range m.Grants {
-		grants = append(grants, quota.Grant{Target: g.Target, Permits: g.Permits, Wait: time.Duration(min(max(g.WaitMS, 0), math.MaxInt32)) * time.Millisecond, Ready: g.Ready})
+		grants = append(grants, quota.Grant{Target: g.Target, Permits: g.Permits, Wait: time.Duration(min(max(g.WaitMS, 0), math.MaxInt32)) * time.Millisecond, Rate: float64(g.Rate) / ratePrecision, Ready: g.Ready})
 	}
 	p.entry.control.post(func(c *control, now time.Time) { c.recordGrants(now, grants) })
 }
@@ -163,3 +163,19 @@
 	}
 	return due, waiting, e.permitsArrived
 }
+
+// retryAfter returns the time after which a caller should repeat a request that was refused because targets of the given services
+// are at their rate limits.
+func (r *runner) retryAfter(now time.Time, services []string) (wait time.Duration) {
+	e := r.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, service := range services {
+		var ids []string
+		for _, t := range e.view.Load().Targets(service) {
+			ids = append(ids, t.ID)
+		}
+		wait = max(wait, e.permits.Promise(now, ids))
+	}
+	return wait
+}
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -81,6 +81,9 @@
 			return res
 		}
 	}
+	if len(finish.RateLimited) > 0 && finish.Code.Ran() == codes.NotRun {
+		finish.RetryAfter = max(finish.RetryAfter, r.retryAfter(time.Now(), finish.RateLimited))
+	}
 	if finish.Code.OK() {
 		time.AfterFunc(lingerDuration, r.cancel)
 	} else {
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -181,6 +181,7 @@
 	MissingCount  int           // number of parts that the answer lacks
 	MissingParts  []string      // some of the missing parts, each with the reason: "shard-07:no_usable_target"
 	BudgetDenials int           // attempts that the retry budget refused
+	RateLimited   []string      // services of parts that were given up because their targets are at their rate limits
 	RetryAfter    time.Duration // set with codes that say that the request has not run
 }
 
--- a/internal/fanout/finish.go
+++ b/internal/fanout/finish.go
@@ -91,6 +91,9 @@
 		if part.givenUp && (part.reason == ReasonTargetsInBackoff || part.reason == ReasonRateLimited || part.reason == ReasonQuarantined) {
 			f.RetryAfter = max(f.RetryAfter, part.retryAt.Sub(p.now))
 		}
+		if part.givenUp && part.reason == ReasonRateLimited {
+			f.RateLimited = append(f.RateLimited, part.service)
+		}
 	}
 	return f
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -119,7 +119,8 @@
 	_       struct{} `cbor:",toarray"`
 	Target  string
 	Permits int
-	WaitMS  int64 // time until more permits can be expected
+	WaitMS  int64  // time until the next permit
+	Rate    uint64 // permits per 1,000 s that can be expected
 	Ready   bool
 }
 
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -17,23 +16,25 @@
 // clientTarget holds the permits and the demand of a process for one target.
 type clientTarget struct {
 	expiries     []time.Time // of the permits, in order
-	demand       rate        // sends, and sends that were denied
-	granted      rate        // permits
+	demand       eventRate   // sends, and sends that were denied
 	unansweredAt time.Time   // time of the first request for permits that has not been answered; zero: none
 	askedAt      time.Time   // time of the last request for permits
-	nextAsk      time.Time   // no permits can be expected before
+	nextAsk      time.Time   // no permits are requested before
+	nextPermit   time.Time   // when the allocator expects to have a permit
+	lastPromise  time.Time   // latest time that Promise has told a caller
+	perSecond    float64     // permits per second that can be expected; 0: unknown
 	fallback     float64     // requests that may be sent without a permit
 	fallbackAt   time.Time   // time to which fallback applies; zero while the allocator answers
 }
 
-// rate is a moving average of the number of events per second.
-type rate struct {
+// eventRate is a moving average of the number of events per second.
+type eventRate struct {
 	value float64
 	at    time.Time
 }
 
 // perSecond returns the average at the given time.
-func (r *rate) perSecond(now time.Time) float64 {
+func (r *eventRate) perSecond(now time.Time) float64 {
 	if r.value == 0 {
 		return 0
 	}
@@ -41,7 +42,7 @@
 }
 
 // add records n events.
-func (r *rate) add(now time.Time, n int) {
+func (r *eventRate) add(now time.Time, n int) {
 	r.value = r.perSecond(now) + float64(n)/demandDecay.Seconds()
 	r.at = now
 }
@@ -200,7 +201,8 @@
 	}
 	t.nextAsk = now
 	if g.Wait > 0 {
-		t.nextAsk = now.Add(min(max(g.Wait, minWait), maxWait))
+		t.nextAsk = now.Add(min(max(g.Wait, minWait), maxAskDelay))
+		t.nextPermit = now.Add(min(g.Wait, maxWait))
 	}
 	if !g.Ready {
 		return
@@ -209,17 +211,57 @@
 	for range min(max(g.Permits, 0), maxWantedPerAsk) {
 		t.expiries = append(t.expiries, t.askedAt.Add(PermitLifetime)) // the allocator issued it later than that
 	}
-	t.granted.add(now, max(g.Permits, 0))
+	if g.Rate > 0 {
+		t.perSecond = g.Rate
+	}
 }
 
 // Wait returns the time until this process can expect a permit for a target.
 func (c *Client) Wait(now time.Time, target string) time.Duration {
 	t := c.targets[target]
-	if t == nil {
+	switch {
+	case t == nil:
 		return 0
+	case t.nextPermit.After(now):
+		return t.nextPermit.Sub(now)
+	}
+	return t.interval(c.fallbackRate(target))
+}
+
+// interval returns the time between two permits.
+func (t *clientTarget) interval(fallbackRate float64) time.Duration {
+	perSecond := t.perSecond
+	if perSecond <= 0 {
+		perSecond = max(fallbackRate, 1/maxWait.Seconds())
+	}
+	return min(time.Duration(float64(time.Second)/perSecond), maxWait)
+}
+
+// Promise returns the time after which a caller that is refused for the lack of permits should come back. Each call gets the time
+// of another permit, so that callers come back at the rate at which they can be served.
+func (c *Client) Promise(now time.Time, targets []string) time.Duration {
+	var best *clientTarget
+	wait := time.Duration(math.MaxInt64)
+	for _, id := range targets {
+		t := c.targets[id]
+		if t == nil {
+			continue
+		}
+		next := c.Wait(now, id)
+		if after := t.lastPromise.Add(t.interval(c.fallbackRate(id))).Sub(now); !t.lastPromise.IsZero() && after > next {
+			next = after
+		}
+		if next < wait {
+			best, wait = t, next
+		}
+	}
+	if best == nil {
+		return 0
+	}
+	if wait <= maxPromise {
+		best.lastPromise = now.Add(wait)
 	}
-	perSecond := cmp.Or(max(t.granted.perSecond(now), c.fallbackRate(target)), MinRate)
-	return max(t.nextAsk.Sub(now), time.Duration(float64(time.Second)/max(perSecond, MinRate)))
+	return wait
 }
 
 // HasTargets reports whether any target has a limit.
--- a/internal/quota/pools.go
+++ b/internal/quota/pools.go
@@ -130,36 +130,51 @@
 	limit, total := target.record(now, process, r)
 	wanted := min(max(r.Wanted, 0), maxWantedPerAsk)
 	permits, wait := target.issue(process, limit, total, wanted)
-	return Grant{Target: r.Target, Permits: permits, Wait: wait, Ready: true}
+	return Grant{Target: r.Target, Permits: permits, Wait: wait, Rate: limit * r.Demand / max(total, r.Demand), Ready: true}
 }
 
-// record records a request of a process, and adds the permits and credits for the time since the last request. It returns the
-// limit and the total demand of all processes. If processes state different limits, the lowest one holds.
+// record records a request of a process, after it has added the permits and credits for the time since the last request. It
+// returns the limit and the total demand of all processes.
 func (p *pool) record(now time.Time, process string, r Request) (limit, total float64) {
+	p.accrue(now)
+	for id, other := range p.users {
+		if now.Sub(other.requestedAt) > demandLifetime {
+			delete(p.users, id)
+		}
+	}
 	u := p.users[process]
 	if u == nil {
 		u = &user{}
 		p.users[process] = u
 	}
 	u.limit, u.demand, u.requestedAt = r.Limit, r.Demand, now
+	return p.limitAndDemand()
+}
+
+// limitAndDemand returns the limit and the total demand of all processes. If processes state different limits, the lowest one
+// holds.
+func (p *pool) limitAndDemand() (limit, total float64) {
 	limit = math.Inf(1)
-	for id, other := range p.users {
-		if now.Sub(other.requestedAt) > demandLifetime {
-			delete(p.users, id)
-			continue
-		}
-		limit = min(limit, other.limit)
-		total += other.demand
+	for _, u := range p.users {
+		limit = min(limit, u.limit)
+		total += u.demand
 	}
-	limit = max(limit, MinRate)
+	return max(limit, MinRate), total
+}
+
+// accrue adds the permits for the time since the last request, and each process's share of them to its credit.
+func (p *pool) accrue(now time.Time) {
 	elapsed := max(now.Sub(p.updatedAt), 0).Seconds()
 	p.updatedAt = now
+	if len(p.users) == 0 {
+		return
+	}
+	limit, total := p.limitAndDemand()
 	p.permits = min(p.permits+limit*elapsed, maxPermits(limit))
-	for _, other := range p.users {
-		share := limit * other.demand / max(total, limit)
-		other.credit = min(other.credit+share*elapsed, max(1, share*demandDecay.Seconds()))
+	for _, u := range p.users {
+		share := limit * u.demand / max(total, limit)
+		u.credit = min(u.credit+share*elapsed, max(1, share*demandDecay.Seconds()))
 	}
-	return limit, total
 }
 
 // maxPermits returns how many permits are kept for processes that will request them.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -58,7 +58,9 @@
 	demandDecay     = 2 * time.Second        // time constant of the demand of a process
 	demandLifetime  = 2 * time.Second        // an allocator forgets the demand of a process that requests nothing for this long
 	poolLifetime    = 10 * time.Second       // an allocator forgets a target for which nothing is requested for this long
-	maxWait         = time.Second            // longest time until a process may request permits again
+	maxAskDelay     = time.Second            // longest time until a process requests permits again
+	maxWait         = time.Hour              // bound of Grant.Wait
+	maxPromise      = 10 * time.Second       // a caller that is told a longer time isn't expected back
 	minWait         = 10 * time.Millisecond  // shortest time until a process that got fewer permits than it requested asks again
 	minDemand       = 0.2                    // requests per second that a process which asks for permits has at least
 	maxWantedPerAsk = 10_000
@@ -76,6 +78,7 @@
 type Grant struct {
 	Target  string
 	Permits int
-	Wait    time.Duration // time until more permits can be expected, if there are fewer than requested
+	Wait    time.Duration // time until the next permit, if there are fewer than requested
+	Rate    float64       // permits per second that the process can expect at its present demand
 	Ready   bool          // false if the process issues no permits for the target at present
 }
