entry, fanout: requests that come late in a planned stop aren't cut off at its end

Callers saw connections closed without an answer, among them for orders that may not be repeated, which had been passed on 4 s after SIGTERM with a grace of 6 s (report of another operator; it happens here).

Cause: for 0.72 of the grace, a stopping process took requests as before, with whatever time their callers had, and closed all connections at 0.83. A request that takes longer than what is left was cut.

Change: after 0.4 of the grace, a request that must not be repeated is taken only if its whole time fits into the stop, and is otherwise refused (503, not run, Retry-After), since another process can serve it. Any request is refused that could only be answered with a failure. What runs gets its final answer at 0.8 of the grace: the deadlines of all plans end there.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,6 +154,7 @@
 	directory atomic.Pointer[directory]
 	ready     atomic.Bool
 	stopping  atomic.Bool
+	stopBegan atomic.Pointer[time.Time] // nil unless a planned stop has begun
 	inFlight  atomic.Int64
 	asOf      atomic.Uint64 // platform revision of the documents in force
 
@@ -301,6 +302,8 @@
 func (e *Entry) Stop() {
 	e.init()
 	e.stopOnce.Do(func() {
+		now := time.Now()
+		e.stopBegan.Store(&now)
 		e.stopping.Store(true)
 		close(e.stop)
 	})
@@ -393,7 +396,12 @@
 	// servingFraction is the fraction of the time in which requests are still served as before. In this time, callers that
 	// cache the addresses of entry processes stop using this one; see the section on planned stops in docs/design.md.
 	servingFraction = 0.72
-	// finishFraction is the fraction of the time after which the stop ends even if requests are still running. A sixth of the
+	// onceFraction is the fraction of the time after which a request that must not be repeated is taken only if its whole time
+	// fits into the stop. It may still be running at the target when the stop ends, and nobody could tell whether it has run.
+	onceFraction = 0.4
+	// answerFraction is the fraction of the time by which every request that was read gets its final answer.
+	answerFraction = 0.8
+	// finishFraction is the fraction of the time after which the stop ends even if connections are still in use. A sixth of the
 	// time remains unused.
 	finishFraction = 0.83
 	defaultGrace   = 6 * time.Second
@@ -401,25 +409,52 @@
 	finishPollInterval = 20 * time.Millisecond
 )
 
+// grace returns the time from the signal to stop until the process is killed.
+func (e *Entry) grace() time.Duration { return cmp.Or(e.Bounds.Grace, defaultGrace) }
+
+// stopTime returns the time at which the given fraction of a planned stop has passed, if one has begun.
+func (e *Entry) stopTime(fraction float64) time.Time {
+	return e.stopBegan.Load().Add(time.Duration(fraction * float64(e.grace())))
+}
+
+// refusesWhileStopping reports whether a request comes too late in a planned stop: one that must not be repeated and may take
+// longer than the stop, or any that could only be answered with a failure. Another process can serve it.
+func (e *Entry) refusesWhileStopping(c *call) bool {
+	if !e.stopping.Load() {
+		return false
+	}
+	now := time.Now()
+	timeLeft := c.caller.TimeLeft
+	if c.route.Timeout > 0 {
+		timeLeft = min(timeLeft, c.route.Timeout)
+	}
+	left := e.stopTime(answerFraction).Sub(now)
+	if c.route.Kind != table.Safe {
+		return now.After(e.stopTime(onceFraction)) && timeLeft > left
+	}
+	e.mu.Lock()
+	_, high := e.balancer.RouteTimes(c.route.Name)
+	e.mu.Unlock()
+	return left < high
+}
+
 // drain carries out a planned stop. It announces the stop to peers and callers at once, and serves requests until callers
 // have had time to switch to other processes. Then it accepts no more connections, and waits until every request that was
-// read has been answered, but not beyond finishFraction of the time.
+// read has been answered, which is at answerFraction of the time at the latest.
 func (e *Entry) drain(ctx context.Context) {
-	start := time.Now()
-	grace := cmp.Or(e.Bounds.Grace, defaultGrace)
 	e.control.post(func(c *control, now time.Time) {
 		c.publish(now)
 		c.sendStatements()
 	})
-	e.Log.Info("planned stop began", "in_flight", e.inFlight.Load(), "grace", grace)
-	servingTimer := time.NewTimer(time.Duration(servingFraction * float64(grace)))
+	e.Log.Info("planned stop began", "in_flight", e.inFlight.Load(), "grace", e.grace())
+	servingTimer := time.NewTimer(time.Until(e.stopTime(servingFraction)))
 	defer servingTimer.Stop()
 	select {
 	case <-servingTimer.C:
 	case <-ctx.Done():
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, start.Add(time.Duration(finishFraction*float64(grace))))
+	ctx, cancel := context.WithDeadline(ctx, e.stopTime(finishFraction))
 	defer cancel()
 	_ = e.CallerListener.Close() // makes Serve return
 	for busy := e.conns.closeIdle(); busy > 0; busy = e.conns.closeIdle() {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -64,6 +64,7 @@
 // loop runs the plan until it is finished or the caller has disconnected.
 func (r *runner) loop(ctx context.Context) result {
 	var res result
+	stop := r.entry.stop // closed when a planned stop begins
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	r.awaitPermits(ctx)
@@ -75,6 +76,11 @@
 			finish = r.startSends(r.runStep(func(now time.Time) []fanout.Action { return r.recordAttempt(now, s) }))
 		case <-timer.C:
 			finish = r.startSends(r.runStep(r.plan.Tick))
+		case <-stop:
+			stop = nil
+			r.plan.LimitDeadline(r.entry.stopTime(answerFraction))
+			r.wakeAt = r.plan.Deadline()
+			finish = r.startSends(r.runStep(r.plan.Tick))
 		case <-ctx.Done():
 			r.cancel()
 			res.sends = r.sendCount
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -24,6 +24,7 @@
 const (
 	// defaultTimeLeft is how long a caller is assumed to wait if its request doesn't state it.
 	defaultTimeLeft    = 10 * time.Second
+	stoppingRetryAfter = 10 * time.Millisecond  // Retry-After of requests that another process must serve
 	startingRetryAfter = 300 * time.Millisecond // Retry-After of requests that arrive before a configuration is known
 	// maxUnsafeIdle is how long a connection may have been idle to be used for a request of a route that isn't table.Safe.
 	// It is below the shortest time after which targets drop idle connections.
@@ -110,6 +111,11 @@
 	case err != nil:
 		return fail(codes.BadRequest, "the body ended early")
 	}
+	if e.refusesWhileStopping(c) {
+		_, status, _ := fail(codes.Stopping, "the process is stopping")
+		status.RetryAfterMS = stoppingRetryAfter.Milliseconds()
+		return c, status, false
+	}
 	c.contentFingerprint = poison.Fingerprint(host, r.Method+" "+r.RequestURI, body)
 	c.request = pool.Request{Method: r.Method, Head: pool.Head(r.Method, r.RequestURI, r.Host, e.forwardedHeaders(r.Header), len(body)), Body: body}
 	if route.Kind != table.Safe {
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -320,6 +320,13 @@
 // Deadline returns the time by which the request has its final answer.
 func (p *Plan) Deadline() time.Time { return p.deadline }
 
+// LimitDeadline moves the deadline of the request to the given time, if that is earlier.
+func (p *Plan) LimitDeadline(t time.Time) {
+	if t.Before(p.deadline) {
+		p.deadline = t
+	}
+}
+
 // Start returns the first attempt of each part, or the Finish of a request that can't be served.
 func (p *Plan) Start(now time.Time) []Action {
 	p.now = now
