pool: a test that cuts replies at each byte

Another operator's clients got a 200 with an empty body after a backend had stopped in the middle of its answer's head.

--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -507,3 +507,32 @@
 	p.Prune(time.Now().Add(DefaultSurplusTime), func(string) bool { return true })
 	assert.Equal(t, len(p.idle[s.target.ID]), DefaultMinIdle)
 }
+
+// A target that closes the connection in the middle of the head of its reply, or of a body whose end is stated, has not replied:
+// wherever the reply is cut, it isn't taken for a complete one.
+func TestReplyCutInHead(t *testing.T) {
+	for name, r := range map[string]struct{ head, body string }{
+		"with length":    {"HTTP/1.1 200 OK\r\nX-Digest: abc\r\nContent-Length: 12\r\n\r\n", "hello, world"},
+		"chunked":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Digest: abc\r\n\r\n", "5\r\nhello\r\n0\r\n\r\n"},
+		"without length": {"HTTP/1.1 200 OK\r\nX-Digest: abc\r\nConnection: close\r\n\r\n", ""},
+		"interim reply":  {"HTTP/1.1 103 Early Hints\r\nX-Digest: abc\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
+		"bare line ends": {"HTTP/1.1 200 OK\nX-Digest: abc\nContent-Length: 3\n\n", "abc"},
+		"no header":      {"HTTP/1.1 200 OK\r\n\r\n", ""},
+		"folded header":  {"HTTP/1.1 200 OK\r\nX-Digest: abc\r\n def\r\nContent-Length: 0\r\n\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			whole := r.head + r.body
+			var length atomic.Int64
+			s := serveReplies(t, func(int64, *http.Request) (string, bool) { return whole[:length.Load()], false })
+			p := newPool(t)
+			for n := range len(whole) {
+				length.Store(int64(n))
+				reply, err := do(t, p, s, getRequest())
+				assert.Check(t, err != nil && !err.NotSent, "cut after %q: status %d, body %q", whole[:n], reply.Status, reply.Body)
+			}
+			length.Store(int64(len(whole)))
+			reply, err := do(t, p, s, getRequest())
+			assert.Assert(t, err == nil && reply.Status == 200, "%v", err)
+		})
+	}
+}
