entry, subset: a cold target doesn't get too much while several processes stop or start

A process that has just started took the whole bound until it knew another one.

Change: the bound is divided by the processes that were chosen within the last 10 s. A process that doesn't know its peers yet sends a cold target one request a second at most, and only some processes do.

--- a/internal/entry/cold.go
+++ b/internal/entry/cold.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
 )
 
@@ -37,16 +39,23 @@
 // divideColdLimit returns this process's part of fleetLimit, the requests per second that the fleet may send to a cold
 // target. If only some processes of the fleet are chosen, the chosen ones divide fleetLimit and the others get none. If
 // fleetLimit is smaller than the number of processes that divide it, those that rank first for the target get one request
-// each, and the others none; see ranksWithin.
+// each, and the others none; see ranksWithin. A process that doesn't know its peers yet assumes that there are
+// initialFleetSize, and that its rank is a random one.
 func (s *shares) divideColdLimit(t *table.Target, fleetLimit int) int {
-	senders := max(len(s.chosen), 1)
+	if !s.settled {
+		if xxhash.Sum64String(t.ID+s.self.String())%initialFleetSize < uint64(max(fleetLimit, 0)) {
+			return 1
+		}
+		return 0
+	}
+	senders := max(len(s.senders), 1)
 	if senders < s.fleetSize && !s.selfChosen {
 		return 0
 	}
 	if n := fleetLimit / senders; n > 0 {
 		return n
 	}
-	if s.ranksWithin(t.ID, fleetLimit) {
+	if s.ranksWithin(t.ID, fleetLimit, s.senders) {
 		return 1
 	}
 	return 0
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -61,7 +61,8 @@
 	reportedSends      map[string]uint64 // sends to targets with a rate limit as of lastLimitReport, by target ID
 	compressionCache   compressionCache
 	overloadDetector   subset.OverloadDetector
-	retryReserve       subset.ReserveShare // divides the fleet's reserve of retries
+	recentlyChosen     subset.Recent[netip.AddrPort] // chosen processes, and those that may still send requests
+	retryReserve       subset.ReserveShare           // divides the fleet's reserve of retries
 	lastTick           time.Time
 	addressInputs      addressInputs     // from which the current directory was computed
 	busy               bool              // this process is overloaded, as overloadDetector reports
@@ -102,8 +103,9 @@
 		entry: e, startedAt: now, compressionCache: compressionCache{}, pauseLimiter: newPauseLimiter(),
 		events: make(chan func(*control, time.Time), eventQueueLen), loopDone: make(chan struct{}),
 		table: table.New(), documents: docset.New(docset.Config{}), retryReserve: subset.ReserveShare{Window: roster.DefaultShrinkDelay, FirstOnVM: e.FirstOnVM},
-		permitPools: quota.NewPools(e.PeerAddr.String()),
-		roster:      roster.New(roster.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.PeerAddr.String(), e.incarnation, seeds, now),
+		recentlyChosen: subset.Recent[netip.AddrPort]{Window: roster.DefaultShrinkDelay, Compare: netip.AddrPort.Compare},
+		permitPools:    quota.NewPools(e.PeerAddr.String()),
+		roster:         roster.New(roster.Config{DataCentre: e.DataCentre, Capacity: e.Capacity}, e.PeerAddr.String(), e.incarnation, seeds, now),
 	}
 	c.follower = &follower{entry: e, control: c}
 	return c
@@ -231,6 +233,7 @@
 		chosen = old.chosen
 	}
 	next := newShares(size, !e.FirstOnVM && now.Sub(c.startedAt) < predecessorIdleTimeout, e.callerAddr(), chosen, view)
+	next.settled, next.senders = c.roster.Settled(now), c.recentlyChosen.Update(now, chosen)
 	share := c.retryReserve.Share(now, subset.FleetCounts{Size: size, ChosenCount: len(chosen), StandbyCount: len(d.processes) - len(d.chosen), IsChosen: next.selfChosen})
 	e.mu.Lock()
 	e.budget.SetShare(share)
@@ -238,7 +241,7 @@
 	e.permits.SetShare(1 / float64(size))
 	e.mu.Unlock()
 	c.updateAllocators(now)
-	if old.fleetSize != next.fleetSize || old.recentStart != next.recentStart || old.view != view || !slices.Equal(old.chosen, next.chosen) {
+	if old.fleetSize != next.fleetSize || old.recentStart != next.recentStart || old.view != view || old.settled != next.settled || !slices.Equal(old.chosen, next.chosen) || !slices.Equal(old.senders, next.senders) {
 		previous := *old
 		previous.previous = nil
 		next.since, next.previous = now, &previous
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -188,6 +188,8 @@
 	self           netip.AddrPort   // address at which this process accepts requests
 	chosen         []netip.AddrPort // addresses of the chosen processes
 	selfChosen     bool             // this process is one of chosen
+	senders        []netip.AddrPort // chosen processes, and those that were chosen shortly before and may still send requests
+	settled        bool             // this process has had time to learn of its peers
 	view           *table.View
 	allowedTargets map[string]bool // by target ID: whether this process gets a connection if there are too few for all; computed on first use
 	since          time.Time       // when these shares came into force
@@ -211,7 +213,7 @@
 )
 
 func newShares(size int, recentStart bool, self netip.AddrPort, chosen []netip.AddrPort, view *table.View) *shares {
-	return &shares{fleetSize: size, recentStart: recentStart, self: self, chosen: chosen, selfChosen: slices.Contains(chosen, self), view: view, allowedTargets: map[string]bool{}}
+	return &shares{fleetSize: size, recentStart: recentStart, self: self, chosen: chosen, senders: chosen, settled: true, selfChosen: slices.Contains(chosen, self), view: view, allowedTargets: map[string]bool{}}
 }
 
 // connections returns how many sends to a target this process may have open at a time. In a fleet that is too large for the
@@ -239,7 +241,7 @@
 	}
 	allowed, computed := s.allowedTargets[t.ID]
 	if !computed {
-		allowed = s.ranksWithin(t.ID, usable)
+		allowed = s.ranksWithin(t.ID, usable, s.chosen)
 		s.allowedTargets[t.ID] = allowed
 	}
 	if allowed {
@@ -248,13 +250,13 @@
 	return 0
 }
 
-// ranksWithin reports whether this process is among the first n of the chosen processes for a target. The rank is that of
+// ranksWithin reports whether this process is among the first n of the given processes for a target. The rank is that of
 // rendezvous hashing: each target orders the processes by the hash of its own ID and their address, so all processes come
 // to the same result, and different targets rank different processes first.
-func (s *shares) ranksWithin(target string, n int) bool {
+func (s *shares) ranksWithin(target string, n int, processes []netip.AddrPort) bool {
 	ownHash := xxhash.Sum64String(target + s.self.String())
 	lower := 0
-	for _, addr := range s.chosen {
+	for _, addr := range processes {
 		if xxhash.Sum64String(target+addr.String()) < ownHash {
 			lower++
 		}
--- a/internal/entry/shares_test.go
+++ b/internal/entry/shares_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/fuchsiarelay/fuchsiarelay/internal/roster"
+	"github.com/fuchsiarelay/fuchsiarelay/internal/subset"
 	"github.com/fuchsiarelay/fuchsiarelay/internal/table"
 )
 
@@ -90,3 +92,37 @@
 		assert.Assert(t, sum > 0)
 	})
 }
+
+// Processes in a planned stop still serve callers. While several stop at once, the fleet must send a cold target no more requests
+// than it accepts in any second.
+func TestColdTargetGetsTooMuchWhileProcessesStop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 100).Draw(t, "processes")
+		perSecond := rapid.Float64Range(0.5, 60).Draw(t, "per second")
+		rt := table.New()
+		rt.SetConfig(table.Config{Version: 1, Services: []table.Service{{Name: "s", WarmupRequestsPerSecond: perSecond}}})
+		var all []netip.AddrPort
+		for i := range n {
+			all = append(all, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 1))
+		}
+		stopping := rapid.IntRange(1, n-1).Draw(t, "stopping")
+		target := &table.Target{ID: "a", Service: "s"}
+		sum := 0
+		for i, self := range all {
+			s := newShares(n, false, self, all, rt.View())
+			if i >= stopping {
+				// It has learned of the stops more than coldTransition ago.
+				recent := subset.Recent[netip.AddrPort]{Window: roster.DefaultShrinkDelay, Compare: netip.AddrPort.Compare}
+				recent.Update(time.Now().Add(-4*time.Second), all)
+				next := newShares(n, false, self, all[stopping:], rt.View())
+				next.senders = recent.Update(time.Now(), all[stopping:])
+				next.since, next.previous = time.Now().Add(-2*coldTransition), s
+				s = next
+			}
+			e := &Entry{Bounds: Bounds{WarmupOverage: 1.5, WarmupSlack: 5}}
+			e.shares.Store(s)
+			sum += e.coldLimit(target)
+		}
+		assert.Assert(t, float64(sum) <= perSecond*1.5+5, "%d of %f", sum, perSecond*1.5+5)
+	})
+}
