--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -53,17 +53,27 @@
 	}
 }
 
-// reportLimits logs the sends to targets with a rate limit since the last call, every limitReportInterval.
+// reportLimits logs a summary of the sends to targets with a rate limit since the last call, every limitReportInterval.
 func (c *control) reportLimits(now time.Time) {
 	elapsed := now.Sub(c.lastLimitReport)
 	if elapsed < limitReportInterval {
 		return
 	}
 	c.lastLimitReport = now
-	current := map[string]uint64{}
-	for _, l := range c.entry.RateLimits() {
+	limited := c.entry.RateLimits()
+	current := make(map[string]uint64, len(limited))
+	var sends, mostSends uint64
+	var most TargetLimit
+	for _, l := range limited {
 		current[l.Target] = l.Sends
-		c.entry.Log.Info("sends to a target with a rate limit", "target", l.Target, "limit", l.Limit, "sends", l.Sends-min(c.reportedSends[l.Target], l.Sends), "in_ms", elapsed.Milliseconds(), "processes", c.roster.Size(now))
+		n := l.Sends - min(c.reportedSends[l.Target], l.Sends)
+		sends += n
+		if most.Target == "" || n > mostSends {
+			most, mostSends = l, n
+		}
 	}
 	c.reportedSends = current
+	if len(limited) > 0 {
+		c.entry.Log.Info("sends to targets with a rate limit", "targets", len(limited), "sends", sends, "most_used", most.Target, "limit", most.Limit, "sends_there", mostSends, "in_ms", elapsed.Milliseconds(), "processes", c.roster.Size(now))
+	}
 }
