entry, fanout: sends don't read the deadline of a plan that a planned stop changes

Cause: found by the race detector in TestPlannedStopUnderLoad. Since plans end with a planned stop, the goroutine of a call moves the deadline of its plan while the goroutines of its sends read it without a lock; the header with the time left could be torn.

Change: each send carries the deadline that was in force when it was planned.

Measured: one race report in a run of TestPlannedStop, TestPlannedStopUnderLoad and TestLateRequestsAreCutByPlannedStop before, none in two runs now, both with -race.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -245,7 +245,7 @@
 func (r *runner) request(s fanout.Send) *pool.Request {
 	req := r.call.request
 	req.Close, req.VerifyNew = s.Unassigned, s.VerifyNew
-	left := max(time.Until(r.plan.Deadline()).Milliseconds(), 1)
+	left := max(time.Until(s.Deadline).Milliseconds(), 1)
 	req.ExtraHeader = []pool.HeaderField{
 		{Name: r.entry.Names.Deadline, Value: strconv.FormatInt(left, 10)}, {Name: r.entry.Names.ExpectInstance, Value: s.Target.ID},
 	}
--- a/internal/fanout/fanout.go
+++ b/internal/fanout/fanout.go
@@ -161,6 +161,7 @@
 	Service   string
 	Target    *table.Target
 	TimeLeft  time.Duration  // until the deadline of the request
+	Deadline  time.Time      // of the request when the attempt was planned
 	Expected  place.Estimate // as estimated by the Picker
 	Repeated  bool           // not the first attempt of the part
 	Hedge     bool           // another attempt of the part is still open
@@ -497,7 +498,7 @@
 	part.openAttempts++
 	part.hedgeDelayStart = now
 	p.attempts = append(p.attempts, attempt{part: i, open: true})
-	return &Send{AttemptID: len(p.attempts) - 1, Part: i, Service: part.service, Target: t, TimeLeft: timeLeft, Repeated: repeated, Hedge: part.openAttempts > 1, Expected: expected}
+	return &Send{AttemptID: len(p.attempts) - 1, Part: i, Service: part.service, Target: t, TimeLeft: timeLeft, Deadline: p.deadline, Repeated: repeated, Hedge: part.openAttempts > 1, Expected: expected}
 }
 
 // AttemptEnded records how the attempt with the given number ended, and returns the actions that follow from it.
